--- /dev/null
+++ b/ashdock/controller.py
@@ -0,0 +1,361 @@
+"""One controller: membership, the parts it owns, the leader's seat, and the doors to the outside."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import Any
+
+import msgspec
+
+from ashdock.core.part import Picture
+from ashdock.front import Front
+from ashdock.leader import Leader
+from ashdock.net.cloud import CloudClient, CloudTrouble
+from ashdock.net.http import Server
+from ashdock.net.mesh import Mesh
+from ashdock.net.state import Conflict, HoldLost, Replica, StateClient, Unavailable
+from ashdock.net.worker import WorkerClient
+from ashdock.owner import Owner, OwnerPhase
+from ashdock.settings import Settings, Team, address
+from ashdock.wire.frames import Beat, Counts, Frame, RecallFrame, Relay, Relayed, Yield
+from ashdock.wire.messages import MachineType
+
+log = logging.getLogger("ashdock.controller")
+
+
+class Controller:
+    def __init__(self, settings: Settings, rng: random.Random | None = None) -> None:
+        self.settings = settings
+        self.shared = settings.settings
+        self.workers = self.shared.workers
+        self.label = settings.label
+        self.rng = rng or random.Random()
+        # One clock for all that is kept: the time of day at the start, carried on by the steady clock.
+        self.offset = time.time() - time.monotonic()
+        self.ttl_s = max(self.workers.lease_s / 4, 1.0)
+        self.tick_s = min(self.workers.report_s / 4, self.ttl_s / 8)
+        self.gather_s = self.tick_s / 16
+        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared)
+        self.cloud = CloudClient(*address(settings.outside.cloud, "outside.cloud"), self.shared)
+        self.worker_client = WorkerClient(self.workers.lease_s / 5, 10 * self.workers.report_s)
+        peers = [(other.label, *address(other.endpoint, "others")) for other in settings.others]
+        self.mesh = Mesh(self.label, peers, self._on_frame, beat_s=self.ttl_s / 5)
+        self.machines = Replica(self.state, "machine/")
+        self.parts = Replica(self.state, "part/")
+        self.members = Replica(self.state, "member/")
+        self.leaders = Replica(self.state, "leader")
+        self.jobs = Replica(self.state, "job/", keep=False)
+        self.catalog: dict[str, MachineType] = {}
+        self.owners: dict[str, Owner] = {}
+        self.leader: Leader | None = None
+        self.hold: int | None = None
+        self.hold_until = 0.0
+        self.incarnation = self.rng.getrandbits(48)
+        self.remote_pictures: dict[str, tuple[float, Picture]] = {}
+        self.remote_counts: dict[str, dict[str, tuple[int, int]]] = {}
+        self.relays: dict[int, asyncio.Future[Relayed]] = {}
+        self.relay_number = 0
+        self.last_report = time.monotonic()
+        self.front = Front(self)
+        limit = self.shared.machine_limits.max_connections
+        # Sockets are shared with the mesh, the services and the workers we send orders to.
+        self.server = Server(self.front.handle, most=limit * 7 // 10, idle_s=60.0, slow_s=10.0)
+        self.background: set[asyncio.Task[Any]] = set()
+
+    def now(self) -> float:
+        return time.monotonic() + self.offset
+
+    # -- life --------------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        self.machines.on_change(self._machine_changed)
+        self.jobs.on_change(self.jobs_seen)
+        await self.server.start(*address(self.settings.bind, "bind"))
+        await self.mesh.start(*address(self.settings.mesh_addr, "mesh_addr"))
+        log.info("controller %s in %s listens on %s", self.label, self.settings.area, self.settings.bind)
+        loops = [self._membership, self._ownership, self._gossip, self._learn_catalog]
+        tasks = [asyncio.create_task(replica.run()) for replica in (self.machines, self.parts, self.members, self.leaders, self.jobs)]
+        tasks += [asyncio.create_task(self._forever(loop)) for loop in loops]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            if self.leader:
+                self.leader.stop()
+            for owner in list(self.owners.values()):
+                owner.task.cancel()
+            await self.mesh.stop()
+            await self.server.stop()
+
+    async def _forever(self, loop: Any) -> None:
+        while True:
+            try:
+                pause: float | None = await loop()
+                if pause is None:
+                    return
+                await asyncio.sleep(pause)
+            except (Unavailable, CloudTrouble, Conflict) as why:
+                log.debug("%s: %s", loop.__name__, why)
+                await asyncio.sleep(self.tick_s)
+            except Exception:
+                log.exception("%s", loop.__name__)
+                await asyncio.sleep(self.tick_s * 2)
+
+    def spawn(self, job: Any) -> None:
+        task = asyncio.create_task(job)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    # -- how well we are connected ---------------------------------------------------------------------------
+
+    def state_fresh(self) -> bool:
+        return self.state.bad_since is None and self.state.silent_for < self.ttl_s
+
+    def may_renew(self) -> bool:
+        """Whether running work may be kept alive. Cut off alone, we would not see a cancellation that others
+        record, so only for a while; in an outage that all share, nobody can record one."""
+        if self.state.silent_for < self.workers.cancel_s - self.workers.lease_s:
+            return True
+        peers = self.mesh.peers.values()
+        return bool(peers) and all(
+            peer.heard_within(self.ttl_s) and peer.beat is not None and peer.beat.state_age > self.ttl_s for peer in peers
+        )
+
+    def alone_without_state(self) -> bool:
+        if self.state.silent_for < self.ttl_s / 2:
+            return False
+        return any(
+            peer.heard_within(self.ttl_s) and peer.beat is not None and peer.beat.state_age < self.ttl_s / 2
+            for peer in self.mesh.peers.values()
+        )
+
+    def ready(self) -> bool:
+        return bool(self.catalog) and self.parts.ready.is_set() and not self.alone_without_state()
+
+    # -- membership and leadership -----------------------------------------------------------------------------
+
+    async def _membership(self) -> float:
+        pause = self.ttl_s / 4
+        started = time.monotonic()
+        try:
+            if self.hold is None:
+                self.hold = await self.state.hold(int(self.ttl_s * 1000))
+                path = f"member/{self.label}"
+                value = {"incarnation": self.incarnation}
+                entry = await self.state.get(path)
+                stamp = await self.state.txn({path: entry.stamp if entry else 0}, {path: value}, hold=self.hold)
+                self.members.wrote(path, value, stamp)
+            else:
+                await self.state.renew(self.hold, timeout=self.ttl_s / 2)
+            self.hold_until = started + self.ttl_s
+            await self._lead()
+        except HoldLost:
+            log.info("our membership had ended; joining again")
+            self.hold = None
+            self._unseat()
+            return 0.0
+        except Unavailable:
+            if time.monotonic() > self.hold_until:
+                self._unseat()
+            return pause / 2
+        return pause
+
+    async def _lead(self) -> None:
+        entry = self.leaders.entries.get("leader")
+        if not self.leaders.ready.is_set() or not self.catalog:
+            return
+        if entry is None:
+            try:
+                value = {"label": self.label, "incarnation": self.incarnation}
+                stamp = await self.state.txn({"leader": 0}, {"leader": value}, hold=self.hold)
+            except Conflict:
+                return
+            self.leaders.wrote("leader", value, stamp)
+            log.info("this controller leads, stamp %d", stamp)
+            self._unseat()
+            self.leader = Leader(self, stamp)
+        elif self.leader and entry.stamp != self.leader.stamp:
+            self._unseat()
+
+    def _unseat(self) -> None:
+        if self.leader:
+            log.info("this controller no longer leads")
+            self.leader.stop()
+            self.leader = None
+
+    def leader_label(self) -> str | None:
+        entry = self.leaders.entries.get("leader")
+        return entry.value["label"] if entry else None
+
+    async def _learn_catalog(self) -> float | None:
+        """From the cloud, or from what a controller learnt of it before, if the cloud is down."""
+        try:
+            self.catalog.update(await self.cloud.catalog())
+        except CloudTrouble:
+            if not self.catalog:
+                entry = await self.state.get("catalog")
+                if entry:
+                    self.catalog.update(msgspec.convert(entry.value, dict[str, MachineType]))
+            return self.tick_s * 4
+        if self.leader or not await self.state.get("catalog", urgent=False):
+            value = msgspec.to_builtins(self.catalog)
+            await self.state.txn({}, {"catalog": value}, urgent=False)
+        return 60.0
+
+    # -- ownership ---------------------------------------------------------------------------------------------------
+
+    def owner_label(self, team: str) -> str | None:
+        entry = self.parts.entries.get(f"part/{team}")
+        return entry.value["owner"] if entry else None
+
+    async def _ownership(self) -> float:
+        if not (self.parts.ready.is_set() and self.members.ready.is_set() and self.machines.ready.is_set() and self.catalog):
+            return self.tick_s / 4
+        if self.hold is None or time.monotonic() > self.hold_until:
+            return self.tick_s
+        alive = {path.split("/", 1)[1] for path in self.members.entries} | {self.label}
+        load = dict.fromkeys(sorted(alive), 0)
+        orphans: list[Team] = []
+        for team in self.shared.teams:
+            owner = self.owner_label(team.name)
+            if owner in load:
+                load[owner] += 1
+            else:
+                orphans.append(team)
+        heirs: dict[str, str] = {}
+        for team in orphans:
+            heir = min(load, key=lambda label: (load[label], label))
+            load[heir] += 1
+            heirs[team.name] = heir
+        for team in self.shared.teams:
+            entry = self.parts.entries.get(f"part/{team.name}")
+            ours = self.owners.get(team.name)
+            if ours is not None:
+                claim = ours.part.stamp if ours.part else 0
+                if claim and entry and entry.stamp > claim:
+                    ours.lost(f"claimed by {entry.value['owner']}")
+                continue
+            # A part that names us is ours from before a restart: taken back at once.
+            if (entry and entry.value["owner"] == self.label) or heirs.get(team.name) == self.label:
+                if self.state_fresh():
+                    self.owners[team.name] = Owner(self, team, entry.stamp if entry else 0)
+        return self.tick_s
+
+    def _machine_changed(self, path: str, value: Any, stamp: int) -> None:
+        name = path.split("/", 1)[1]
+        for owner in list(self.owners.values()):
+            if value is None:
+                owner.note(lambda part: part.machine_gone(name, self.now()))
+            elif value["p"] == owner.team.name:
+                owner.note(lambda part: part.add_machine(name, value, stamp, self.now()))
+
+    def jobs_seen(self, path: str, value: Any, stamp: int) -> None:
+        """`job/<id>` changed: new, withdrawn, done, or with a reason."""
+        if value is None:
+            return
+        job_id = path.split("/", 1)[1]
+        self.front.saw(job_id, value)
+        owner = self.owners.get(value["spec"]["team"] if isinstance(value["spec"], dict) else value["spec"].team)
+        if owner is None:
+            return
+        if value["status"] == "queued":
+            owner.note(lambda part: self._job_news(part, job_id, value, stamp))
+        elif value["status"] == "withdrawn":
+            owner.note(lambda part: part.cancel(job_id, value.get("cancelled_at", self.now()), stamp, self.now()))
+
+    def _job_news(self, part: Any, job_id: str, value: Any, stamp: int) -> None:
+        if job_id not in part.jobs and not self.front.is_final(job_id):
+            part.add_job(value if isinstance(value["spec"], dict) else msgspec.to_builtins(value), stamp)
+
+    # -- the mesh ------------------------------------------------------------------------------------------------------------
+
+    async def _gossip(self) -> float:
+        now = time.monotonic()
+        beat = Beat(self.incarnation, self.state.silent_for, now - self.last_report, self.ready(), self.leader is not None)
+        self.mesh.broadcast(beat)
+        leader = self.leader_label()
+        counts: list[tuple[str, int, int]] = []
+        for owner in self.owners.values():
+            if owner.phase is OwnerPhase.ACTIVE and owner.part:
+                counts += owner.part.counts()
+                if leader and leader != self.label:
+                    self.mesh.send(leader, owner.part.picture(self.now()))
+        if counts:
+            self.mesh.broadcast(Counts(counts[:5000]))
+        self.worker_client.sweep()
+        return self.mesh.beat_s
+
+    def pictures(self) -> dict[str, Picture]:
+        now = time.monotonic()
+        out = {team: picture for team, (at, picture) in self.remote_pictures.items() if now - at < self.ttl_s}
+        for team, owner in self.owners.items():
+            if owner.phase is OwnerPhase.ACTIVE and owner.part:
+                out[team] = owner.part.picture(self.now())
+        return out
+
+    def to_owner(self, team: str, frame: Yield | RecallFrame) -> None:
+        if team in self.owners:
+            self._for_part(frame)
+        else:
+            label = self.owner_label(team)
+            if label:
+                self.mesh.send(label, frame)
+
+    def _for_part(self, frame: Yield | RecallFrame) -> None:
+        owner = self.owners.get(frame.part)
+        if owner is None:
+            return
+        if isinstance(frame, Yield):
+            owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()) and None)
+        else:
+            owner.note(lambda part: part.recall(frame.machines, self.now()))
+
+    def _on_frame(self, label: str, frame: Frame) -> None:
+        match frame:
+            case Picture():
+                self.remote_pictures[frame.team] = (time.monotonic(), frame)
+            case Yield() | RecallFrame():
+                self._for_part(frame)
+            case Counts(jobs):
+                self.remote_counts[label] = {job: (done, running) for job, done, running in jobs}
+            case Relay():
+                if len(self.background) < 500:
+                    self.spawn(self._answer_relay(label, frame))
+            case Relayed():
+                future = self.relays.pop(frame.number, None)
+                if future and not future.done():
+                    future.set_result(frame)
+            case _:
+                pass
+
+    async def _answer_relay(self, label: str, frame: Relay) -> None:
+        answer = await self.front.checkin(frame.body, relayed=True)
+        self.mesh.send(label, Relayed(frame.number, answer.status, answer.body))
+
+    async def relay(self, label: str, body: bytes) -> Relayed | None:
+        """Pass a worker's report on to the owner that the worker cannot reach."""
+        self.relay_number = (self.relay_number + 1) & 0xFFFFFFFF
+        number = self.relay_number
+        future: asyncio.Future[Relayed] = asyncio.get_running_loop().create_future()
+        self.relays[number] = future
+        try:
+            if not self.mesh.send(label, Relay(number, body)):
+                return None
+            async with asyncio.timeout(2.0):  # the worker waits 4 s
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self.relays.pop(number, None)
+
+    def counts(self, team: str, job: str) -> tuple[int, int]:
+        owner = self.owners.get(team)
+        if owner and owner.part and job in owner.part.jobs:
+            here = owner.part.jobs[job]
+            return here.done, here.running
+        label = self.owner_label(team)
+        return self.remote_counts.get(label or "", {}).get(job, (0, 0))
--- /dev/null
+++ b/ashdock/core/allotment.py
@@ -0,0 +1,269 @@
+"""The leader's choices: which machines to rent, lend to which part, call back and return.
+
+It is told pictures of the parts by their owners and sees the machines' records. Its own writes are
+fenced by the records' stamps, so a leader that is out of date can waste money but break nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ashdock.core.machine import capacity
+from ashdock.core.part import Picture, Want
+from ashdock.settings import Renting, Shared
+from ashdock.wire.messages import MachineType
+
+
+class Lent(NamedTuple):
+    """A machine's record, as everyone sees it."""
+
+    name: str
+    part: str
+    type: str
+    zone: str
+    spot: bool
+    stamp: int
+    doomed: str
+
+
+class Rent(NamedTuple):
+    team: str
+    type: str
+    zone: str
+    spot: bool
+    count: int
+
+
+class Move(NamedTuple):
+    """Lend a machine to another part; `part` holds it now ("" is the pool)."""
+
+    part: str
+    machine: str
+    to: str
+
+
+class Recall(NamedTuple):
+    team: str
+    machines: int
+
+
+class Release(NamedTuple):
+    machines: list[str]
+
+
+Decision = Rent | Move | Recall | Release
+
+
+class Allotment:
+    def __init__(self, shared: Shared, renting: Renting, catalog: dict[str, MachineType]) -> None:
+        self.shared = shared
+        self.renting = renting
+        self.catalog = catalog
+        self.refused: dict[tuple[str, str, bool], tuple[float, float]] = {}  # until when, and the last pause
+        self.coming: dict[str, tuple[str, float]] = {}  # machine: team it was lent to, and when
+        self.renting_now: list[Rent] = []
+        self.recalled_at: dict[str, float] = {}
+        self.pool_since: dict[str, float] = {}
+        boots = [shape.boot_s for shape in catalog.values()]
+        self.boot_s = max(boots, default=shared.workers.lease_s)
+        self.settle_s = shared.workers.lease_s / 2
+
+    # -- what came of earlier choices -----------------------------------------------------------
+
+    def rented(self, rent: Rent, names: list[str], now: float) -> None:
+        self.renting_now.remove(rent)
+        for name in names:
+            self.coming[name] = (rent.team, now)
+        if len(names) < rent.count:
+            self._refuse(rent, now)
+        else:
+            self.refused.pop((rent.type, rent.zone, rent.spot), None)
+
+    def not_rented(self, rent: Rent, now: float, no_capacity: bool) -> None:
+        self.renting_now.remove(rent)
+        if no_capacity:
+            self._refuse(rent, now)
+
+    def _refuse(self, rent: Rent, now: float) -> None:
+        key = (rent.type, rent.zone, rent.spot)
+        _, pause = self.refused.get(key, (0.0, self.settle_s / 2))
+        pause = min(pause * 2, 2 * self.boot_s)
+        self.refused[key] = (now + pause, pause)
+
+    # -- choosing -------------------------------------------------------------------------------
+
+    def decide(self, machines: Iterable[Lent], pictures: dict[str, Picture], now: float) -> list[Decision]:
+        lent = {machine.name: machine for machine in machines if not machine.doomed}
+        self._forget_settled(lent, pictures, now)
+        pool = {name: m for name, m in lent.items() if m.part == "" and name not in self.coming}
+        for name in list(self.pool_since):
+            if name not in pool:
+                del self.pool_since[name]
+        for name in pool:
+            self.pool_since.setdefault(name, now)
+        idle = {
+            name: (lent[name], idle_s)
+            for picture in pictures.values()
+            for name, idle_s in picture.idle
+            if name in lent and lent[name].part == picture.team and name not in self.coming
+        }
+        out: list[Decision] = []
+        wants = sorted(
+            ((picture.team, want) for picture in pictures.values() for want in picture.wants),
+            key=lambda item: (not item[1].guaranteed, -item[1].priority, item[1].slack_s),
+        )
+        on_the_way = self._virtual(lent)
+        rents: dict[tuple[str, str, str, bool], int] = {}
+        unmet: dict[str, int] = {}
+        total = len(lent) + sum(rent.count for rent in self.renting_now)
+        for team, want in wants:
+            left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
+            left = self._lend(team, want, left, pool, idle, out, now)
+            while left > 0:
+                offer = self._offer(want, left, rents, now)
+                most = self.renting.most_machines
+                if offer is None or (most and total >= most):
+                    if want.guaranteed:
+                        unmet[team] = unmet.get(team, 0) + self._machines_for(want, left)
+                    break
+                shape, zone, spot = offer
+                per = max(1, capacity(shape, want.cpus, want.gpus, want.memory))
+                key = (team, shape.label, zone, spot)
+                rents[key] = rents.get(key, 0) + 1
+                total += 1
+                left -= per
+                if left < 0:
+                    on_the_way.setdefault(team, []).append([shape, zone, spot, *self._rest(shape, want, per + left)])
+        out += [Rent(team, kind, zone, spot, min(count, 50)) for (team, kind, zone, spot), count in rents.items()]
+        self.renting_now += [decision for decision in out if isinstance(decision, Rent)]
+        out += self._recalls(unmet, pictures, now)
+        out += self._returns(pool, idle, wants, now)
+        return out
+
+    def _forget_settled(self, lent: dict[str, Lent], pictures: dict[str, Picture], now: float) -> None:
+        for name, (team, since) in list(self.coming.items()):
+            machine = lent.get(name)
+            picture = pictures.get(team)
+            seen = machine and picture and machine.part == team and picture.seen >= machine.stamp
+            if seen or now - since > self.settle_s:
+                del self.coming[name]
+
+    def _virtual(self, lent: dict[str, Lent]) -> dict[str, list[list]]:  # type: ignore[type-arg]
+        """Machines lent or asked for that their part's picture does not hold yet: type, zone, kind and room."""
+        out: dict[str, list[list]] = {}  # type: ignore[type-arg]
+        for name, (team, _) in self.coming.items():
+            machine = lent.get(name)
+            if machine and machine.type in self.catalog:
+                shape = self.catalog[machine.type]
+                room = [shape, machine.zone, machine.spot, shape.cpus, shape.accelerators, shape.ram_gb]
+                out.setdefault(team, []).append(room)
+        for rent in self.renting_now:
+            shape = self.catalog[rent.type]
+            for _ in range(rent.count):
+                room = [shape, rent.zone, rent.spot, shape.cpus, shape.accelerators, shape.ram_gb]
+                out.setdefault(rent.team, []).append(room)
+        return out
+
+    def _use_virtual(self, rooms: list[list], want: Want) -> int:  # type: ignore[type-arg]
+        left = want.tasks
+        for room in rooms:
+            shape, zone, spot, cpus, gpus, memory = room
+            if not self._suits(want, shape.label, zone, spot):
+                continue
+            while left > 0 and cpus + 1e-6 >= want.cpus and gpus + 1e-6 >= want.gpus and memory + 1e-6 >= want.memory:
+                cpus, gpus, memory = cpus - want.cpus, gpus - want.gpus, memory - want.memory
+                left -= 1
+            room[3:] = [cpus, gpus, memory]
+        return left
+
+    @staticmethod
+    def _rest(shape: MachineType, want: Want, tasks: int) -> list[float]:
+        return [shape.cpus - want.cpus * tasks, shape.accelerators - want.gpus * tasks, shape.ram_gb - want.memory * tasks]
+
+    @staticmethod
+    def _suits(want: Want, kind: str, zone: str, spot: bool) -> bool:
+        if want.types and kind not in want.types:
+            return False
+        if want.zone and zone != want.zone:
+            return False
+        return want.spot or not spot
+
+    def _machines_for(self, want: Want, tasks: int) -> int:
+        fits = [capacity(s, want.cpus, want.gpus, want.memory) for s in self.catalog.values()]
+        return -(-tasks // max(1, max(fits, default=1)))
+
+    def _lend(
+        self, team: str, want: Want, left: int, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
+        out: list[Decision], now: float,
+    ) -> int:  # fmt: skip
+        """Machines that stand empty come first: they need no boot."""
+        options = [(0.0, machine) for machine in pool.values()]
+        options += [(1.0, machine) for machine, _ in idle.values() if machine.part != team]
+        # The cheap kind first, since it is the one to keep.
+        options.sort(key=lambda item: (not item[1].spot, item[0], item[1].name))
+        for _, machine in options:
+            if left <= 0:
+                break
+            if machine.type not in self.catalog or not self._suits(want, machine.type, machine.zone, machine.spot):
+                continue
+            per = capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory)
+            if per <= 0:
+                continue
+            out.append(Move(machine.part, machine.name, team))
+            self.coming[machine.name] = (team, now)
+            pool.pop(machine.name, None)
+            idle.pop(machine.name, None)
+            left -= per
+        return left
+
+    def _offer(
+        self, want: Want, left: int, rents: dict[tuple[str, str, str, bool], int], now: float
+    ) -> tuple[MachineType, str, bool] | None:
+        """The cheapest kind that suits and was not refused of late; a gang's zone stays one."""
+        best: tuple[tuple[float, ...], tuple[MachineType, str, bool]] | None = None
+        for shape in self.catalog.values():
+            per = capacity(shape, want.cpus, want.gpus, want.memory)
+            if per <= 0 or (want.types and shape.label not in want.types):
+                continue
+            for zone in shape.yards:
+                if want.zone and zone != want.zone:
+                    continue
+                for spot in (True, False):
+                    if spot and not (want.spot and self.renting.spot):
+                        continue
+                    if self.refused.get((shape.label, zone, spot), (0.0, 0.0))[0] > now:
+                        continue
+                    price = (shape.low_price if spot else shape.price) / min(per, left)
+                    asked = sum(count for key, count in rents.items() if key[1:] == (shape.label, zone, spot))
+                    key = (price, float(-asked if want.together else asked), shape.boot_s)
+                    if best is None or key < best[0]:
+                        best = key, (shape, zone, spot)
+        return best[1] if best else None
+
+    def _recalls(self, unmet: dict[str, int], pictures: dict[str, Picture], now: float) -> list[Decision]:
+        out: list[Decision] = []
+        for team, count in unmet.items():
+            if now - self.recalled_at.get(team, -1e9) < self.shared.workers.lease_s:
+                continue
+            for other in sorted(pictures.values(), key=lambda picture: -picture.spare_beyond):
+                take = min(count, other.spare_beyond)
+                if other.team != team and take > 0:
+                    out.append(Recall(other.team, take))
+                    self.recalled_at[team] = now
+                    count -= take
+        return out
+
+    def _returns(
+        self, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]], wants: list[tuple[str, Want]], now: float
+    ) -> list[Decision]:
+        keep_s = self.renting.idle_boots * self.boot_s
+        out: list[Decision] = []
+        for machine, idle_s in idle.values():
+            wanted = any(self._suits(want, machine.type, machine.zone, machine.spot) for _, want in wants)
+            if idle_s > keep_s and not wanted:
+                out.append(Move(machine.part, machine.name, ""))
+        gone = [name for name in pool if now - self.pool_since.get(name, now) > self.settle_s]
+        if gone:
+            out.append(Release(gone[:100]))
+        return out
--- /dev/null
+++ b/ashdock/core/job.py
@@ -0,0 +1,242 @@
+"""A job in its part's memory, and its form in the state service."""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+from typing import Any
+
+from ashdock.core.task import Failure, Placement, TaskState, ranges_of
+from ashdock.wire.messages import Spec
+
+# The widest a task can be in a chunk: a placement and a failure with its reason, in bytes.
+TASK_BYTES = 112
+
+
+class JobPhase(Enum):
+    ACTIVE = "active"
+    CANCELLED = "cancelled"  # durably; its tasks are still to be confirmed gone
+    OVER = "over"  # its last task is done; the outcome is being written
+    FINAL = "final"  # the outcome is durable
+
+
+class Chunk:
+    """A run of tasks that share one value `work/<team>/<id>/<n>`."""
+
+    __slots__ = ("attempts", "durable", "gen", "n", "stamp")
+
+    def __init__(self, n: int) -> None:
+        self.n = n
+        self.stamp = 0
+        self.gen = 0
+        self.durable = 0
+        self.attempts = 0  # the highest attempt number used
+
+    def touch(self) -> int:
+        self.gen += 1
+        return self.gen
+
+
+class Job:
+    def __init__(self, spec: Spec, submitted: float, stamp: int, chunk_tasks: int) -> None:
+        self.spec = spec
+        self.id = spec.id
+        self.submitted = submitted
+        self.stamp = stamp  # of job/<id>, and of the copy beside the work: they are only written together
+        self.phase = JobPhase.ACTIVE
+        self.chunk_tasks = chunk_tasks
+        self.states = bytearray(spec.tasks)
+        self.done = 0
+        self.hint = 0  # no task below is ready
+        self.ready = spec.tasks
+        self.live: dict[int, Placement] = {}
+        self.fails: dict[int, Failure] = {}
+        self.chunks: dict[int, Chunk] = {}
+        self.reason: str | None = None
+        self.reason_gen = 0
+        self.reason_durable = 0
+        self.cancelled_at: float | None = None
+        self.breaking: str | None = None  # gang: why its attempt is being taken down
+        self.broke: Failure | None = None  # gang: a failure of its own seen in this attempt
+        self.avoid: dict[str, float] = {}  # machine: until when this job had better not go there
+        self.first_start: float | None = None
+        self.preempted_at = -math.inf
+
+    # -- states of tasks -------------------------------------------------------------------
+
+    def _set(self, task: int, state: TaskState) -> int:
+        was = self.states[task]
+        if was == TaskState.DONE:
+            return self.chunk_of(task).gen
+        if was == TaskState.READY:
+            self.ready -= 1
+        if state == TaskState.READY:
+            self.ready += 1
+            self.hint = min(self.hint, task)
+        if state == TaskState.DONE:
+            self.done += 1
+        self.states[task] = state
+        return self.chunk_of(task).touch()
+
+    def place(self, task: int, machine: str, attempt: int, now: float) -> Placement:
+        chunk = self.chunk_of(task)
+        chunk.attempts = max(chunk.attempts, attempt)
+        gen = self._set(task, TaskState.LIVE)
+        placement = Placement(self.id, task, attempt, machine, gen, now)
+        self.live[task] = placement
+        return placement
+
+    def release(self, task: int) -> None:
+        """Its stop is confirmed, or its start was never sent: back among the ready."""
+        self.live.pop(task, None)
+        if self.states[task] == TaskState.LIVE:
+            self._set(task, TaskState.READY)
+        else:
+            self.chunk_of(task).touch()
+
+    def finish(self, task: int) -> None:
+        self.fails.pop(task, None)
+        self._set(task, TaskState.DONE)
+
+    def park(self, task: int) -> None:
+        self.fails.pop(task, None)  # the park carries the count
+        self._set(task, TaskState.PARKED)
+
+    def wake(self, task: int, failure: Failure) -> None:
+        if self.states[task] == TaskState.PARKED:
+            self.fails[task] = failure
+            self._set(task, TaskState.READY)
+
+    def set_failure(self, task: int, failure: Failure) -> None:
+        self.fails[task] = failure
+        self.chunk_of(task).touch()
+
+    def cancel(self, at: float) -> None:
+        self.phase = JobPhase.CANCELLED
+        self.cancelled_at = at
+
+    def set_reason(self, reason: str) -> None:
+        if reason != self.reason:
+            self.reason = reason
+            self.reason_gen += 1
+
+    # -- picture ---------------------------------------------------------------------------
+
+    def chunk_of(self, task: int) -> Chunk:
+        return self.chunk(task // self.chunk_tasks)
+
+    def chunk(self, n: int) -> Chunk:
+        chunk = self.chunks.get(n)
+        if chunk is None:
+            chunk = self.chunks[n] = Chunk(n)
+        return chunk
+
+    def next_ready(self) -> int:
+        """The lowest ready task, or -1."""
+        if not self.ready:
+            return -1
+        self.hint = max(self.states.find(TaskState.READY, self.hint), 0)
+        return self.states.find(TaskState.READY, self.hint)
+
+    def ready_tasks(self, most: int) -> list[int]:
+        out: list[int] = []
+        at = self.next_ready()
+        while at >= 0 and len(out) < most:
+            out.append(at)
+            at = self.states.find(TaskState.READY, at + 1)
+        return out
+
+    def attempt_for(self, task: int) -> int:
+        if self.spec.kind == "gang":
+            return max((chunk.attempts for chunk in self.chunks.values()), default=0) + 1
+        return self.chunk_of(task).attempts + 1
+
+    @property
+    def complete(self) -> bool:
+        return self.done == self.spec.tasks
+
+    @property
+    def active(self) -> bool:
+        return self.phase is JobPhase.ACTIVE
+
+    @property
+    def running(self) -> int:
+        return sum(1 for placement in self.live.values() if placement.status == "running")
+
+    def durable(self, task: int, gen: int) -> bool:
+        return self.chunk_of(task).durable >= gen
+
+    # -- the state service's form ----------------------------------------------------------
+
+    def path(self, n: int) -> str:
+        return f"work/{self.spec.team}/{self.id}/{n}"
+
+    @property
+    def head_path(self) -> str:
+        return f"work/{self.spec.team}/{self.id}/job"
+
+    @property
+    def job_path(self) -> str:
+        return f"job/{self.id}"
+
+    def chunk_value(self, n: int) -> dict[str, Any]:
+        low = n * self.chunk_tasks
+        high = min(low + self.chunk_tasks, self.spec.tasks)
+        value: dict[str, Any] = {"a": self.chunk(n).attempts}
+        done = [task for task in range(low, high) if self.states[task] == TaskState.DONE]
+        if done:
+            value["d"] = ranges_of(done)
+        placed = [[task, p.machine, p.attempt] for task, p in sorted(self.live.items()) if low <= task < high]
+        if placed:
+            value["p"] = placed
+        failed: list[list[Any]] = []
+        for task, failure in sorted(self.fails.items()):
+            if low <= task < high:
+                if failed and failed[-1][1] == task - 1 and failed[-1][2:] == list(failure):
+                    failed[-1][1] = task
+                else:
+                    failed.append([task, task, *failure])
+        if failed:
+            value["f"] = failed
+        return value
+
+    def load_chunk(self, n: int, value: dict[str, Any], stamp: int, now: float) -> list[Placement]:
+        chunk = self.chunk(n)
+        chunk.stamp = stamp
+        chunk.attempts = value.get("a", 0)
+        for low, high in value.get("d", []):
+            for task in range(low, high + 1):
+                self._set(task, TaskState.DONE)
+        for low, high, *failure in value.get("f", []):
+            for task in range(low, high + 1):
+                self.fails[task] = Failure(*failure)
+        out = []
+        for task, machine, attempt in value.get("p", []):
+            placement = self.place(task, machine, attempt, now)
+            placement.inherited()
+            out.append(placement)
+        chunk.durable = chunk.gen
+        return out
+
+    def record(self) -> dict[str, Any]:
+        """`job/<id>`: all that is ever answered about the job, kept forever."""
+        status = "done" if self.phase in (JobPhase.OVER, JobPhase.FINAL) else "queued"
+        if self.phase is JobPhase.CANCELLED:
+            status = "withdrawn"
+        return job_record(self.spec, self.submitted, status, self.reason, self.cancelled_at)
+
+
+def job_record(
+    spec: Spec, submitted: float, status: str = "queued", reason: str | None = None, cancelled_at: float | None = None
+) -> dict[str, Any]:
+    record: dict[str, Any] = {"spec": spec, "at": submitted, "status": status}
+    if reason:
+        record["reason"] = reason
+    if cancelled_at is not None:
+        record["cancelled_at"] = cancelled_at
+    return record
+
+
+def chunk_size(value_kb: float) -> int:
+    """Tasks to a chunk, so that the fullest one still fits a value."""
+    return max(1, int(value_kb * 1024 * 0.9) // TASK_BYTES)
--- /dev/null
+++ b/ashdock/core/machine.py
@@ -0,0 +1,131 @@
+"""A machine as its part's owner knows it."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+from ashdock.core.task import Placement
+from ashdock.wire.messages import MachineType
+
+
+class MachinePhase(Enum):
+    EXPECTED = "expected"  # rented, has not reported to us
+    UP = "up"
+    LEAVING = "leaving"  # no new tasks: reclaimed, suspect, or wanted elsewhere
+    DOOMED = "doomed"  # durably given up: the leader releases it
+
+
+class Machine:
+    def __init__(self, name: str, value: dict[str, Any], stamp: int, shape: MachineType, now: float) -> None:
+        self.name = name
+        self.type = value["t"]
+        self.zone = value["z"]
+        self.spot = bool(value["s"])
+        self.address: str = value.get("a", "")
+        self.rented: float = value.get("at", now)
+        self.stamp = stamp
+        self.shape = shape
+        self.phase = MachinePhase.DOOMED if value.get("x") else MachinePhase.EXPECTED
+        self.why = value.get("x", "")
+        self.doom_gen = 0
+        self.live: dict[tuple[str, int], Placement] = {}
+        self.cpus = shape.cpus
+        self.gpus = shape.accelerators
+        self.memory = shape.ram_gb
+        self.since = now
+        self.last_at: float | None = None
+        self.tenure = 0
+        self.tally = 0
+        self.checkin_tally = 0
+        self.warrant = 0
+        self.idle_since: float | None = now
+        self.images: dict[str, float] = {}  # seen here, and when last
+        self.ended: set[tuple[str, int, int]] = set()  # reported as ended and not yet forgotten
+        self.strange: dict[tuple[str, int], int] = {}  # running here without a placement: attempt
+        self.reported = 0  # tasks in the last report
+        self.recall_at: float | None = None
+        self.no_room_until = 0.0
+        self.failed: dict[str, float] = {}  # job: when it last failed here
+        self.sending = False  # a direct order is on its way
+        # Starts sent directly and not answered may still arrive, even minutes late. They are harmless
+        # only once the worker's token is above the one noted here, or its session is over.
+        self.outstanding: dict[tuple[str, int, int], int] = {}
+        self.bump = False  # its token must rise: a direct start was not answered
+        self.to: str | None = None  # asked to go to this part ("" the pool) once empty
+
+    def value(self, part: str) -> dict[str, Any]:
+        value: dict[str, Any] = {"t": self.type, "z": self.zone, "s": self.spot, "a": self.address, "p": part}
+        value["at"] = round(self.rented, 3)
+        if self.phase is MachinePhase.DOOMED:
+            value["x"] = self.why
+        return value
+
+    # -- changes of state --------------------------------------------------------------------
+
+    def came_up(self, address: str) -> None:
+        self.address = address
+        if self.phase is MachinePhase.EXPECTED:
+            self.phase = MachinePhase.UP
+
+    def leave(self, why: str) -> None:
+        if self.phase in (MachinePhase.UP, MachinePhase.EXPECTED):
+            self.phase = MachinePhase.LEAVING
+            self.why = why
+
+    def stay(self) -> None:
+        if self.phase is MachinePhase.LEAVING:
+            self.phase = MachinePhase.UP
+            self.why = ""
+            self.to = None
+
+    def doom(self, why: str) -> None:
+        if self.phase is not MachinePhase.DOOMED:
+            self.phase = MachinePhase.DOOMED
+            self.why = why
+
+    # -- room --------------------------------------------------------------------------------
+
+    def take(self, placement: Placement, cpus: float, gpus: float, memory: float) -> None:
+        self.live[placement.key] = placement
+        self.cpus -= cpus
+        self.gpus -= gpus
+        self.memory -= memory
+        self.idle_since = None
+
+    def give_back(self, placement: Placement, cpus: float, gpus: float, memory: float, now: float) -> None:
+        if self.live.pop(placement.key, None) is not None:
+            self.cpus += cpus
+            self.gpus += gpus
+            self.memory += memory
+        if not self.live:
+            self.idle_since = now
+
+    def fits(self, cpus: float, gpus: float, memory: float) -> int:
+        """How many such tasks the free room takes."""
+        most = 1 << 30
+        for need, free in ((cpus, self.cpus), (gpus, self.gpus), (memory, self.memory)):
+            if need > 0:
+                most = min(most, int((free + 1e-6) / need))
+        return max(most, 0)
+
+    @property
+    def usable(self) -> bool:
+        return self.phase is MachinePhase.UP and self.recall_at is None
+
+    @property
+    def empty(self) -> bool:
+        """Nothing counts here, and nothing is left that its owner would still have to settle."""
+        return not self.live and not self.strange and not self.ended and self.reported == 0
+
+    def silent_for(self, now: float) -> float:
+        return now - (self.last_at if self.last_at is not None else self.since)
+
+
+def capacity(shape: MachineType, cpus: float, gpus: float, memory: float) -> int:
+    """How many such tasks a whole empty machine takes."""
+    most = 1 << 30
+    for need, free in ((cpus, shape.cpus), (gpus, shape.accelerators), (memory, shape.ram_gb)):
+        if need > 0:
+            most = min(most, int((free + 1e-6) / need))
+    return max(most, 0)
--- /dev/null
+++ b/ashdock/core/part.py
@@ -0,0 +1,918 @@
+"""A part: one team, its jobs and parks, and the machines lent to it, in its one owner's memory.
+
+No input or output happens here. Reports, wakes and changes seen elsewhere come in as calls; what is
+to be written comes out as transactions, and what is to be sent as orders. A start is let out only once
+its placement is durable, and a placement counts until its stop is proved.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ashdock.core import park as parking
+from ashdock.core import placement as placing
+from ashdock.core.job import Job, JobPhase, chunk_size
+from ashdock.core.machine import Machine, MachinePhase, capacity
+from ashdock.core.quota import Usage, guaranteed
+from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
+from ashdock.settings import Operators, Shared, Team
+from ashdock.wire.messages import ENDED, FORGET, KILL, RUN, Held, MachineType, Order, Report, Spec, split_task, task_name
+
+log = logging.getLogger("ashdock.part")
+
+ORDERS_AT_ONCE = 200  # keeps an answer to a worker well under 64 KiB
+
+
+class Txn:
+    """A transaction being put together, and what to note once it is durable."""
+
+    def __init__(self, ops: int) -> None:
+        self.when: dict[str, int] = {}
+        self.writes: dict[str, Any] = {}  # None deletes
+        self.marks: list[Callable[[int], None]] = []
+        self.ops = ops
+        self.bytes = 200
+
+    def room(self, ops: int, size: int) -> bool:
+        return not self.writes or (len(self.writes) + ops <= self.ops and self.bytes + size <= 60 * 1024)
+
+    def put(self, path: str, value: Any, stamp: int) -> None:
+        self.when[path] = stamp
+        self.writes[path] = value
+
+
+class Want(NamedTuple):
+    """Room that a part lacks, as its owner tells the leader."""
+
+    cpus: float
+    gpus: float
+    memory: float
+    types: tuple[str, ...]
+    zone: str
+    spot: bool
+    together: bool  # all in one zone
+    tasks: int
+    priority: int
+    guaranteed: bool
+    slack_s: float  # until it had better run
+
+
+class Picture(NamedTuple):
+    """What the leader is told of a part."""
+
+    team: str
+    seen: int  # the latest assignment of a machine that this picture takes in
+    wants: list[Want]
+    idle: list[tuple[str, float]]  # empty machines, and for how long
+    machines: int
+    waiting: int
+    spare_beyond: int  # machines held beyond the guarantee
+
+
+class Part:
+    def __init__(
+        self, team: Team, stamp: int, shared: Shared, operators: Operators, catalog: dict[str, MachineType],
+        rng: random.Random,
+    ) -> None:  # fmt: skip
+        self.team = team
+        self.name = team.name
+        self.stamp = stamp  # of our claim: the fence in every write
+        self.shared = shared
+        self.workers = shared.workers
+        self.retry = operators.retry
+        self.catalog = catalog
+        self.rng = rng
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.usage = Usage(team)
+        self.parks = parking.Parks(team.name, int(shared.state.value_kb * 1024 * 0.9))
+        self.chunk_tasks = chunk_size(shared.state.value_kb)
+        self.strange: dict[str, set[str]] = {}  # job: machines where it runs without a placement
+        self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
+        self.wants: list[Want] = []
+        self.seen = stamp
+        self.urgent: set[str] = set()  # machines with orders worth sending at once
+        self.finished: list[tuple[Job, float]] = []
+
+    # -- taking over --------------------------------------------------------------------------
+
+    def load(
+        self, machines: Iterable[tuple[str, Any, int]], work: Iterable[tuple[str, Any, int]],
+        parks: Iterable[tuple[str, Any, int]], now: float,
+    ) -> None:  # fmt: skip
+        """Rebuild the picture from the state service, then re-arm the parks."""
+        for name, value, stamp in machines:
+            self.add_machine(name, value, stamp, now)
+        chunks: dict[str, list[tuple[int, Any, int]]] = {}
+        heads: dict[str, tuple[Any, int]] = {}
+        for path, value, stamp in work:
+            _, _, job_id, tail = path.split("/", 3)
+            if tail == "job":
+                heads[job_id] = (value, stamp)
+            else:
+                chunks.setdefault(job_id, []).append((int(tail), value, stamp))
+        for job_id, (value, stamp) in heads.items():
+            job = self.add_job(value, stamp)
+            for n, chunk, chunk_stamp in chunks.pop(job_id, []):
+                for placement in job.load_chunk(n, chunk, chunk_stamp, now):
+                    self._count(job, placement, now)
+        for job_id, rest in chunks.items():
+            self.leftover += [(f"work/{self.name}/{job_id}/{n}", stamp) for n, _, stamp in rest]
+        for path, value, stamp in parks:
+            for park in self.parks.load(int(path.rsplit("/", 1)[1]), value, stamp):
+                parked = self.jobs.get(park.job)
+                for task in range(park.low, park.high + 1):
+                    # The chunk has the last word: a task placed since is not parked.
+                    if parked and parked.states[task] == TaskState.READY:
+                        parked.park(task)
+        for job in self.jobs.values():
+            for chunk_ in job.chunks.values():
+                chunk_.durable = chunk_.gen
+            self._after_load(job, now)
+
+    def _after_load(self, job: Job, now: float) -> None:
+        if not job.active:
+            for placement in list(job.live.values()):
+                self._stop(placement, "cancelled", 0.0, now)
+        elif job.spec.kind == "gang" and job.done:
+            # Gang tasks complete together, so one that is done proves them all.
+            for task in range(job.spec.tasks):
+                self._finish(job, task, now)
+        elif job.spec.kind == "gang" and job.live and len(job.live) < job.spec.tasks:
+            self._break(job, "incomplete", now)
+        if job.complete and job.active:
+            job.phase = JobPhase.OVER
+        # Placements on machines that are no longer recorded: their machine is proved gone.
+        for placement in list(job.live.values()):
+            if placement.machine not in self.machines:
+                self._lost(placement, "machine gone", now)
+
+    def add_job(self, record: dict[str, Any], stamp: int) -> Job:
+        spec = msgspec.convert(record["spec"], Spec)
+        known = self.jobs.get(spec.id)
+        if known:
+            return known
+        job = Job(spec, record["at"], stamp, self.chunk_tasks)
+        job.reason = record.get("reason")
+        if record["status"] == "withdrawn":
+            job.cancel(record.get("cancelled_at", record["at"]))
+        self.jobs[spec.id] = job
+        return job
+
+    def add_machine(self, name: str, value: dict[str, Any], stamp: int, now: float) -> None:
+        shape = self.catalog.get(value["t"])
+        self.seen = max(self.seen, stamp)
+        known = self.machines.get(name)
+        if known:
+            if stamp > known.stamp:
+                known.stamp = stamp
+                if value.get("x"):
+                    known.doom(value["x"])
+            return
+        if shape is None:
+            log.error("machine %s has a type the catalog lacks: %s", name, value["t"])
+            return
+        self.machines[name] = Machine(name, value, stamp, shape, now)
+
+    # -- accounting ---------------------------------------------------------------------------
+
+    def _count(self, job: Job, placement: Placement, now: float) -> None:
+        spec = job.spec
+        self.usage.take(spec)
+        machine = self.machines.get(placement.machine)
+        if machine:
+            machine.take(placement, spec.cpus, spec.gpus, spec.memory_gb)
+
+    def _drop(self, placement: Placement, now: float) -> None:
+        """Only on proof that the task is not, and will not be, on its machine."""
+        job = self.jobs[placement.job]
+        spec = job.spec
+        self.usage.give_back(spec)
+        machine = self.machines.get(placement.machine)
+        if machine:
+            machine.give_back(placement, spec.cpus, spec.gpus, spec.memory_gb, now)
+
+    def token(self, machine: Machine) -> int:
+        return max(self.stamp, machine.stamp)
+
+    # -- changes of a task's state --------------------------------------------------------------
+
+    def _place(self, job: Job, task: int, machine: Machine, attempt: int, now: float) -> None:
+        placement = job.place(task, machine.name, attempt, now)
+        self._count(job, placement, now)
+
+    def _release(self, placement: Placement, now: float) -> None:
+        job = self.jobs[placement.job]
+        self._drop(placement, now)
+        job.release(placement.task)
+        if job.spec.kind == "gang":
+            self._gang_settled(job, now)
+
+    def _finish(self, job: Job, task: int, now: float) -> None:
+        placement = job.live.pop(task, None)
+        if placement:
+            self._drop(placement, now)
+        if job.states[task] != TaskState.DONE:
+            job.finish(task)
+        if job.complete and job.active:
+            job.phase = JobPhase.OVER
+            self.finished.append((job, now))
+
+    def _stop(self, placement: Placement, why: str, leeway: float, now: float) -> None:
+        if placement.never_sent:
+            self._release(placement, now)
+            return
+        placement.stop(why, leeway, now)
+        self.urgent.add(placement.machine)
+
+    def _lost(self, placement: Placement, why: str, now: float) -> None:
+        """Its stop is confirmed though nobody asked for it; costs it neither count nor clock."""
+        job = self.jobs[placement.job]
+        if placement.phase is not Phase.STOPPING:
+            log.info("job %s task %d lost on %s: %s", job.id, placement.task, placement.machine, why)
+        if job.spec.kind == "gang" and job.active and not job.breaking:
+            self._break(job, why, now)
+        if job.live.get(placement.task) is placement:
+            self._release(placement, now)
+
+    def _break(self, job: Job, why: str, now: float, leeway: float = 0.0) -> None:
+        """Take a gang's attempt down as a whole."""
+        job.breaking = why
+        for placement in list(job.live.values()):
+            if job.live.get(placement.task) is placement:
+                self._stop(placement, why, leeway, now)
+        self._gang_settled(job, now)
+
+    def _gang_settled(self, job: Job, now: float) -> None:
+        """All its tasks are confirmed gone: the gang waits, or is parked, as a whole."""
+        if job.live or not job.breaking:
+            return
+        job.breaking = None
+        failure, job.broke = job.broke, None
+        if failure and job.active:
+            self._after_failure(job, list(range(job.spec.tasks)), failure, now)
+
+    def _own_failure(self, machine: Machine, placement: Placement, why: str, now: float) -> None:
+        job = self.jobs[placement.job]
+        reason = f"{why} on {machine.name}"
+        log.info("job %s task %d try %d failed: %s", job.id, placement.task, placement.attempt, reason)
+        job.avoid[machine.name] = now + self.retry.cap_s
+        # A job that fails wherever it goes says nothing about the machine.
+        if len(job.avoid) <= 2:
+            machine.failed[job.id] = now
+        recent = [at for at in machine.failed.values() if now - at < self.retry.horizon_s / 3]
+        if len(recent) >= 2 and machine.phase is MachinePhase.UP and self._may_suspect():
+            machine.leave("suspect")
+            log.info("machine %s is suspect: %d jobs failed there; draining it", machine.name, len(recent))
+            self._drain(machine, now)
+        failure = Failure(0, now, reason)
+        if job.spec.kind == "gang":
+            job.broke = job.broke or failure
+            if not job.breaking:
+                self._break(job, "a task failed", now)
+            if job.live.get(placement.task) is placement:
+                self._release(placement, now)
+        else:
+            self._release(placement, now)
+            self._after_failure(job, [placement.task], failure, now)
+
+    def _may_suspect(self) -> bool:
+        suspects = sum(1 for machine in self.machines.values() if machine.why == "suspect")
+        return suspects * 4 <= len(self.machines)
+
+    def _after_failure(self, job: Job, tasks: list[int], failure: Failure, now: float) -> None:
+        step = parking.after_failure(self.retry, job.fails.get(tasks[0]), failure.why, now, self.rng)
+        if step.step == "in_place":
+            for task in tasks:
+                job.set_failure(task, step.failure)
+            return
+        at = now + step.delay
+        for task in tasks:
+            job.park(task)
+        self.parks.add(job.id, ranges_of(tasks), at, step.failure)
+        what = "the gang" if job.spec.kind == "gang" else f"task {tasks[0]}"
+        if step.step == "past":
+            job.set_reason(f"{what} failed {step.failure.count} times, last: {failure.why}; still tried now and then")
+            log.info("job %s gave up its bounded retries: %s", job.id, job.reason)
+        else:
+            if job.reason is None:
+                job.set_reason(f"{what} failed: {failure.why}; parked and tried again")
+            log.info("job %s %s parked for %.1f s after %d failures", job.id, what, step.delay, step.failure.count)
+
+    # -- reports --------------------------------------------------------------------------------
+
+    def on_report(self, report: Report, now: float, checkin: bool) -> list[Order] | None:
+        """Take a worker's report in; the answer's orders, or None if we may not answer."""
+        machine = self.machines.get(report.berth)
+        if machine is None:
+            return None
+        token = self.token(machine)
+        if report.warrant > token:
+            return None
+        newer = (report.tenure, report.tally) > (machine.tenure, machine.tally)
+        if not newer:
+            return []
+        machine.came_up(report.address)
+        machine.last_at = now
+        machine.warrant = report.warrant
+        if machine.tenure and report.tenure > machine.tenure:
+            self._session_over(machine, report, now)
+        machine.tenure, machine.tally = report.tenure, report.tally
+        machine.outstanding = {key: sent for key, sent in machine.outstanding.items() if sent >= report.warrant}
+        if report.recall_s is not None:
+            self._recalled(machine, report.recall_s, now)
+        self._match(machine, report, now, checkin and report.warrant >= token)
+        return self.orders(machine, now, report if checkin else None)
+
+    def _session_over(self, machine: Machine, report: Report, now: float) -> None:
+        """The worker's lease ended: it killed and forgot all that it had."""
+        log.info("machine %s is in session %d: its tasks are gone", machine.name, report.tenure)
+        machine.ended.clear()
+        machine.outstanding.clear()  # they name the old session
+        for placement in list(machine.live.values()):
+            if placement.phase >= Phase.ORDERED and placement.key in machine.live:
+                self._lost(placement, "worker lost its controllers", now)
+
+    def _match(self, machine: Machine, report: Report, now: float, proof: bool) -> None:
+        held: dict[tuple[str, int, int], Held] = {}
+        for item in report.shares:
+            held[(*split_task(item.share), item.attempt)] = item
+        machine.reported = len(held)
+        ended: set[tuple[str, int, int]] = set()
+        for placement in list(machine.live.values()):
+            if machine.live.get(placement.key) is not placement:
+                continue  # dropped with its gang a moment ago
+            key = (placement.job, placement.task, placement.attempt)
+            found = held.pop(key, None)
+            if found is None:
+                if proof and key not in machine.outstanding and self._absent(placement, report):
+                    if placement.phase is Phase.STOPPING or placement.seen:
+                        self._lost(placement, placement.why or "not on its machine", now)
+                continue
+            if found.status == ENDED:
+                ended.add(key)
+                self._ended(machine, placement, found, now)
+            else:
+                placement.held(found.status, now)
+                if found.status != "pulling":
+                    machine.images[self.jobs[placement.job].spec.image] = now
+        strange: dict[tuple[str, int], int] = {}
+        for key, item in held.items():
+            if item.status == ENDED:
+                ended.add(key)
+                job = self.jobs.get(key[0])
+                if item.cause == "done" and job and job.active and 0 <= key[1] < job.spec.tasks:
+                    self._done_elsewhere(job, key[1], now)
+            else:
+                strange[key[0], key[1]] = key[2]
+        for job_id, _ in set(machine.strange) | set(strange):
+            here = any(job_id == other for other, _ in strange)
+            where = self.strange.setdefault(job_id, set())
+            (where.add if here else where.discard)(machine.name)
+            if not where:
+                del self.strange[job_id]
+        machine.strange = strange
+        machine.ended = ended
+
+    def _absent(self, placement: Placement, report: Report) -> bool:
+        """Whether a report under our token that lacks the task proves that it is not, and will not be, there."""
+        if placement.ordered is not None and (report.tenure, report.tally) <= placement.ordered:
+            return False
+        return placement.phase >= Phase.ORDERED
+
+    def _done_elsewhere(self, job: Job, task: int, now: float) -> None:
+        if job.spec.kind == "service":
+            return
+        for other in range(job.spec.tasks) if job.spec.kind == "gang" else (task,):
+            placement = job.live.get(other)
+            if placement is not None and job.spec.kind != "gang":
+                self._stop(placement, "done already", 0.0, now)
+                continue
+            self._finish(job, other, now)
+
+    def _ended(self, machine: Machine, placement: Placement, item: Held, now: float) -> None:
+        job = self.jobs[placement.job]
+        cause = item.cause or "error"
+        if cause == "done" and job.spec.kind != "service" and job.active:
+            machine.failed.clear()
+            machine.images[job.spec.image] = now
+            tasks = range(job.spec.tasks) if job.spec.kind == "gang" else (placement.task,)
+            for task in tasks:
+                self._finish(job, task, now)
+            job.breaking = job.broke = None
+        elif cause in ("error", "no_such") and placement.phase is not Phase.STOPPING and job.active:
+            self._own_failure(machine, placement, cause, now)
+        else:
+            if cause == "no_room":
+                machine.no_room_until = now + self.workers.report_s
+            if cause == "error":
+                job.broke = job.broke or (Failure(0, now, f"error on {machine.name}") if job.spec.kind == "gang" else None)
+            self._lost(placement, cause, now)
+
+    # -- orders ---------------------------------------------------------------------------------
+
+    def orders(self, machine: Machine, now: float, checkin: Report | None) -> list[Order]:
+        """What the machine is to do. With a check-in they go into its answer; without, they go directly."""
+        out: list[Order] = []
+        for placement in machine.live.values():
+            name = task_name(placement.job, placement.task)
+            if placement.phase is Phase.STOPPING:
+                out.append(Order(verb=KILL, share=name, attempt=placement.attempt, leeway_s=placement.leeway))
+            elif placement.phase is Phase.COMMITTED or (placement.phase is Phase.ORDERED and not placement.seen):
+                out.append(Order(verb=RUN, share=name, attempt=placement.attempt))
+                if checkin:
+                    placement.answered_with_start(checkin.tenure, checkin.tally)
+        for (job_id, task), attempt in machine.strange.items():
+            out.append(Order(verb=KILL, share=task_name(job_id, task), attempt=attempt, leeway_s=0.0))
+        if checkin:
+            for job_id, task, attempt in machine.ended:
+                if (job_id, task, attempt) not in machine.outstanding and self._forgettable(job_id, task, attempt):
+                    out.append(Order(verb=FORGET, share=task_name(job_id, task), attempt=attempt))
+        return out[:ORDERS_AT_ONCE]
+
+    def _forgettable(self, job_id: str, task: int, attempt: int) -> bool:
+        """Only once its outcome is durable; and never while a start of it may still arrive."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return True
+        if not 0 <= task < job.spec.tasks:
+            return True
+        live = job.live.get(task)
+        if live is not None and live.attempt == attempt:
+            return False
+        chunk = job.chunk_of(task)
+        return job.phase is not JobPhase.OVER and chunk.durable >= chunk.gen
+
+    def direct(self, machine: Machine, now: float) -> list[Order]:
+        """Orders worth a message of their own; marks their starts as outstanding until answered."""
+        if machine.sending or not machine.address or not machine.tenure:
+            return []
+        out = self.orders(machine, now, None)
+        token = self.token(machine)
+        for order in out:
+            placement = machine.live.get(split_task(order.share))
+            if order.verb == RUN and placement:
+                placement.sent_directly()
+                machine.outstanding[(*placement.key, placement.attempt)] = token
+        return out
+
+    def direct_answered(self, machine: Machine, orders: list[Order]) -> None:
+        for order in orders:
+            machine.outstanding.pop((*split_task(order.share), order.attempt), None)
+
+    def direct_unanswered(self, machine: Machine, orders: list[Order]) -> None:
+        """A start may still arrive, even minutes late: raise the token, so that it cannot."""
+        if any(order.verb == RUN for order in orders):
+            machine.bump = True
+
+    # -- stopping -------------------------------------------------------------------------------
+
+    def leeway(self, spec: Spec) -> float:
+        return spec.save_s + self.workers.gang_peer_s if spec.checkpoint_s > 0 else 0.0
+
+    def preempt(self, job: Job, tasks: list[int], why: str, now: float) -> None:
+        """Stop work so that what it has can be saved; a gang as a whole and in time."""
+        leeway = self.leeway(job.spec)
+        if job.spec.kind == "gang":
+            if not job.breaking:
+                self._break(job, why, now, leeway)
+            return
+        for task in tasks:
+            placement = job.live.get(task)
+            if placement and placement.phase is not Phase.STOPPING:
+                self._stop(placement, why, leeway, now)
+
+    def _drain(self, machine: Machine, now: float) -> None:
+        for placement in list(machine.live.values()):
+            if placement.phase is not Phase.STOPPING and machine.live.get(placement.key) is placement:
+                self.preempt(self.jobs[placement.job], [placement.task], machine.why or "drained", now)
+
+    def _recalled(self, machine: Machine, notice: float, now: float) -> None:
+        if machine.recall_at is None:
+            log.info("machine %s is being taken back in %.1f s", machine.name, notice)
+        machine.recall_at = now + notice
+        machine.leave("recalled")
+        for placement in list(machine.live.values()):
+            if machine.live.get(placement.key) is not placement or placement.recalled:
+                continue
+            placement.recalled = True
+            job = self.jobs[placement.job]
+            # What cannot save in time had better go on: it may finish first.
+            if job.active and job.spec.checkpoint_s > 0 and job.spec.save_s < notice or placement.status != "running":
+                self.preempt(job, [placement.task], "machine taken back", now)
+
+    def cancel(self, job_id: str, at: float, stamp: int, now: float) -> None:
+        job = self.jobs.get(job_id)
+        if job is None or job.phase in (JobPhase.CANCELLED, JobPhase.FINAL):
+            return
+        log.info("job %s is cancelled; %d tasks to stop", job_id, len(job.live))
+        job.cancel(at)
+        job.stamp = max(job.stamp, stamp)
+        job.breaking = None
+        self.parks.drop(job_id)
+        for placement in list(job.live.values()):
+            self._stop(placement, "cancelled", 0.0, now)
+
+    def machine_gone(self, name: str, now: float) -> None:
+        """Its key is deleted, which happens only on proof: released with 200, or listed as failed."""
+        machine = self.machines.pop(name, None)
+        if machine is None:
+            return
+        for placement in list(machine.live.values()):
+            if machine.live.get(placement.key) is placement:
+                self._lost(placement, "machine gone", now)
+        for where in self.strange.values():
+            where.discard(name)
+        self.strange = {job: where for job, where in self.strange.items() if where}
+
+    # -- time -----------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        for park in self.parks.due(now):
+            job = self.jobs.get(park.job)
+            if job:
+                for task in range(park.low, park.high + 1):
+                    job.wake(task, park.failure)
+        silent = [m for m in self.machines.values() if m.last_at is not None and m.silent_for(now) > self.silent_s]
+        up = sum(1 for m in self.machines.values() if m.last_at is not None)
+        gap = 2 * self.workers.report_s
+        for machine in self.machines.values():
+            if machine.phase is MachinePhase.DOOMED:
+                continue
+            if machine.phase is MachinePhase.EXPECTED:
+                # Some machines never come up, and are charged all the same.
+                if now - max(machine.since, machine.rented) > 4 * machine.shape.boot_s + self.silent_s:
+                    self._doom(machine, "never came up")
+            elif machine.recall_at is not None and now > machine.recall_at and machine.silent_for(now) > gap:
+                self._doom(machine, "taken back")
+            elif machine.why == "suspect" and not machine.live:
+                self._doom(machine, "suspect")
+            elif machine in silent and len(silent) * 2 <= max(up, 2):
+                # Silence is no proof that its tasks stopped. Releasing it makes one.
+                self._doom(machine, "silent")
+        for job in self.jobs.values():
+            if job.cancelled_at is not None:
+                self._end_cancelled(job, now)
+
+    @property
+    def silent_s(self) -> float:
+        return 1.25 * self.workers.lease_s + self.workers.report_s
+
+    def _end_cancelled(self, job: Job, now: float) -> None:
+        """Tasks of a cancelled job must be gone in time, even where nobody can reach their machine."""
+        limit = (job.cancelled_at or now) + self.workers.cancel_s / 2 - self.shared.skew_ms / 1000
+        for placement in job.live.values():
+            machine = self.machines.get(placement.machine)
+            if machine and now > limit:
+                self._doom(machine, f"holds a task of cancelled job {job.id}")
+
+    def _doom(self, machine: Machine, why: str) -> None:
+        if machine.phase is MachinePhase.DOOMED:
+            return
+        log.info("machine %s is given up: %s", machine.name, why)
+        machine.doom(why)
+        machine.doom_gen = 1
+
+    # -- scheduling -----------------------------------------------------------------------------
+
+    def waiting(self, now: float) -> list[Job]:
+        out = [
+            job
+            for job in self.jobs.values()
+            if job.active and job.ready and not job.breaking and job.id not in self.strange
+            and (job.spec.kind != "gang" or job.ready == job.spec.tasks)
+        ]  # fmt: skip
+        out.sort(key=lambda job: self._rank(job, now))
+        return out
+
+    def slack(self, job: Job, now: float) -> float:
+        """Seconds until the job had better be running."""
+        spec = job.spec
+        if spec.deadline_s is not None:
+            return job.submitted + spec.deadline_s - spec.estimate_s - now
+        return job.submitted + self.aim_s(spec) - now
+
+    def aim_s(self, spec: Spec) -> float:
+        aims = [o.within_s for o in self.shared.objectives if o.kind == "wait" and o.job_class == spec.job_class]
+        aims += [o.within_s for o in self.shared.objectives if o.kind == "guarantee"]
+        return min((aim for aim in aims if aim is not None), default=self.workers.lease_s)
+
+    def _rank(self, job: Job, now: float) -> tuple[float, ...]:
+        slack = self.slack(job, now)
+        # Among deadlines the ones that can still be met come first.
+        late = 1.0 if job.spec.deadline_s is not None and slack < -job.spec.estimate_s else 0.0
+        return (-job.spec.priority, late, slack if job.spec.deadline_s is not None else job.submitted)
+
+    def schedule(self, now: float) -> None:
+        short: list[tuple[Job, int]] = []
+        for job in self.waiting(now):
+            missing = self._try_place(job, now)
+            if missing:
+                short.append((job, missing))
+        for job, missing in short:
+            self._make_room(job, missing, now)
+        self.wants = self._net_wants(short, now)
+
+    def _try_place(self, job: Job, now: float) -> int:
+        """Place what fits; the number of tasks that want room and found none."""
+        spec = job.spec
+        permitted = min(self.usage.room(spec), job.ready)
+        if spec.kind == "gang" and permitted < spec.tasks or permitted <= 0:
+            return 0
+        picked = placing.select(job, self.machines.values(), permitted, now)
+        if picked:
+            tasks = job.ready_tasks(len(picked))
+            attempt = job.attempt_for(0)
+            for task, machine in zip(tasks, picked, strict=True):
+                self._place(job, task, machine, attempt if spec.kind == "gang" else job.attempt_for(task), now)
+            log.info("job %s: %d tasks placed on %s", job.id, len(picked), ",".join(sorted({m.name for m in picked})))
+        return permitted - len(picked)
+
+    def _make_room(self, job: Job, missing: int, now: float) -> None:
+        """Stop work of lower priority of this team for it, once per lease at most for any one job."""
+        if now - job.preempted_at < self.workers.lease_s:
+            return
+        spec = job.spec
+        victims: list[tuple[float, Machine, set[str]]] = []
+        for machine in self.machines.values():
+            if not machine.usable or not placing.permits(spec, machine.type, machine.zone, machine.spot):
+                continue
+            lower = [p for p in machine.live.values() if self.jobs[p.job].spec.priority < spec.priority]
+            if not lower or any(p.phase is Phase.STOPPING for p in machine.live.values()):
+                continue
+            cpus = machine.cpus + sum(self.jobs[p.job].spec.cpus for p in lower)
+            gpus = machine.gpus + sum(self.jobs[p.job].spec.gpus for p in lower)
+            memory = machine.memory + sum(self.jobs[p.job].spec.memory_gb for p in lower)
+            if cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory_gb:
+                continue
+            loss = sum(self._loss(p, now) for p in lower) + placing.fetch_s(spec, machine)
+            victims.append((loss, machine, {p.job for p in lower}))
+        if spec.one_zone and spec.tasks > 1:
+            return  # whole zones are not cleared for one gang: its own machines are rented
+        victims.sort(key=lambda victim: (victim[0], victim[1].name))
+        for _, machine, _ in victims[:missing]:
+            job.preempted_at = now
+            log.info("job %s takes the place of lower work on %s", job.id, machine.name)
+            for placement in list(machine.live.values()):
+                other = self.jobs.get(placement.job)
+                if other and other.spec.priority < spec.priority and machine.live.get(placement.key) is placement:
+                    self.preempt(other, [placement.task], f"made room for {job.id}", now)
+
+    def _loss(self, placement: Placement, now: float) -> float:
+        """Work lost by stopping it now, in GPU-seconds (or CPU-seconds where it uses no GPU)."""
+        spec = self.jobs[placement.job].spec
+        if placement.held_at is None:
+            return 0.0
+        ran = now - placement.held_at
+        lost = spec.save_s if spec.checkpoint_s > 0 else ran
+        return lost * (spec.gpus or spec.cpus) * (spec.tasks if spec.kind == "gang" else 1)
+
+    def _net_wants(self, short: list[tuple[Job, int]], now: float) -> list[Want]:
+        """What is lacking once the machines still booting are counted in."""
+        coming = [
+            [m, m.shape.cpus, m.shape.accelerators, m.shape.ram_gb]
+            for m in self.machines.values()
+            if m.phase is MachinePhase.EXPECTED
+        ]  # fmt: skip
+        cpus, gpus = self.usage.cpus, self.usage.gpus
+        out: list[Want] = []
+        for job, missing in short:
+            spec = job.spec
+            zone, spare = self._gang_zone(job, coming) if spec.kind == "gang" and spec.tasks > 1 else ("", 0)
+            missing -= spare
+            for slot in coming:
+                machine, free_cpus, free_gpus, free_memory = slot
+                if not placing.permits(spec, machine.type, machine.zone, machine.spot) or zone not in ("", machine.zone):
+                    continue
+                while (
+                    missing > 0 and free_cpus + 1e-6 >= spec.cpus
+                    and free_gpus + 1e-6 >= spec.gpus and free_memory + 1e-6 >= spec.memory_gb
+                ):  # fmt: skip
+                    free_cpus -= spec.cpus
+                    free_gpus -= spec.gpus
+                    free_memory -= spec.memory_gb
+                    missing -= 1
+                slot[1:] = [free_cpus, free_gpus, free_memory]
+            cpus += spec.cpus * (missing + spare)
+            gpus += spec.gpus * (missing + spare)
+            if missing <= 0:
+                continue
+            out.append(
+                Want(
+                    spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
+                    spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
+                    self.slack(job, now),
+                )
+            )  # fmt: skip
+        return out
+
+    def _gang_zone(self, job: Job, coming: list[list[Any]]) -> tuple[str, int]:
+        """Where a gang that finds no room is best completed, and how many of its tasks fit there now."""
+        spec = job.spec
+        free: dict[str, int] = {}
+        boots: dict[str, int] = {}
+        for machine in self.machines.values():
+            zone = machine.zone if spec.one_zone else ""
+            if not placing.permits(spec, machine.type, machine.zone, machine.spot):
+                continue
+            if machine.usable:
+                free[zone] = free.get(zone, 0) + machine.fits(spec.cpus, spec.gpus, spec.memory_gb)
+            elif machine.phase is MachinePhase.EXPECTED:
+                boots[zone] = boots.get(zone, 0) + self.tasks_per(spec, machine.shape)
+        best = max(sorted({*free, *boots}), key=lambda zone: free.get(zone, 0) + boots.get(zone, 0), default="")
+        return best, min(free.get(best, 0), spec.tasks)
+
+    def picture(self, now: float) -> Picture:
+        idle = [
+            (m.name, now - m.idle_since)
+            for m in self.machines.values()
+            if m.empty and m.idle_since is not None and m.phase is MachinePhase.UP and m.recall_at is None
+        ]  # fmt: skip
+        held_cpus = sum(m.shape.cpus for m in self.machines.values())
+        held_gpus = sum(m.shape.accelerators for m in self.machines.values())
+        beyond = 0
+        for machine in self.machines.values():
+            held_cpus -= machine.shape.cpus
+            held_gpus -= machine.shape.accelerators
+            if guaranteed(self.team, held_cpus, held_gpus):
+                break
+            beyond += 1
+        waiting = sum(job.ready for job in self.jobs.values() if job.active)
+        return Picture(self.name, self.seen, self.wants, idle, len(self.machines), waiting, beyond)
+
+    def yield_machine(self, name: str, to: str, now: float) -> bool:
+        """The leader wants it elsewhere. It goes once empty, by a write under our fence."""
+        machine = self.machines.get(name)
+        if machine is None or not machine.usable or to == self.name:
+            return False
+        if not machine.empty:
+            return False
+        machine.to = to
+        machine.leave("moves")
+        return True
+
+    def recall(self, machines: int, now: float) -> None:
+        """Vacate so many machines for a team that lacks its guarantee: the cheapest to stop first."""
+        leaving = sum(1 for m in self.machines.values() if m.why == "recalled by a guarantee")
+        options = sorted(
+            (sum(self._loss(p, now) for p in m.live.values()), m.name, m) for m in self.machines.values() if m.usable and m.live
+        )
+        for _, _, machine in options[: max(0, machines - leaving)]:
+            machine.leave("recalled by a guarantee")
+            machine.to = ""
+            self._drain(machine, now)
+
+    # -- writing --------------------------------------------------------------------------------
+
+    def next_txn(self) -> Txn | None:
+        """The changes not yet durable, as many as one transaction takes."""
+        txn = Txn(self.shared.state.txn_ops)
+        for job in list(self.jobs.values()):
+            self._write_job(job, txn)
+        for n, value in self.parks.writes() if self.parks.dirty else ():
+            size = int(self.shared.state.value_kb * 1024)
+            if txn.room(1, size):
+                stamp = self.parks.stamps[n] if n < len(self.parks.stamps) else 0
+                txn.put(self.parks.path(n), value, stamp)
+                txn.bytes += size
+                txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
+        for machine in list(self.machines.values()):
+            self._write_machine(machine, txn)
+        while self.leftover and txn.room(1, 100):
+            path, stamp = self.leftover.pop()
+            txn.put(path, None, stamp)
+        if not txn.writes:
+            return None
+        txn.when[f"part/{self.name}"] = self.stamp
+        return txn
+
+    def _parks_written(self, n: int, value: list[Any] | None, revision: int) -> None:
+        self.parks.wrote(n, value, revision)
+        self.parks.dirty = bool(self.parks.writes())
+
+    def _write_job(self, job: Job, txn: Txn) -> None:
+        if job.phase is JobPhase.OVER or (job.phase is JobPhase.CANCELLED and not job.live):
+            self._write_outcome(job, txn)
+            return
+        dirty = [chunk for chunk in job.chunks.values() if chunk.gen > chunk.durable]
+        if job.spec.kind == "gang" and dirty:
+            # A gang is placed whole or not at all, so its chunks go together.
+            if not txn.room(len(dirty), len(dirty) * int(self.shared.state.value_kb * 1024)):
+                return
+        for chunk in dirty:
+            value = job.chunk_value(chunk.n)
+            size = len(msgspec.json.encode(value)) + 120
+            if job.spec.kind != "gang" and not txn.room(1, size):
+                return
+            txn.put(job.path(chunk.n), value, chunk.stamp)
+            txn.when[job.job_path] = job.stamp
+            txn.bytes += size
+            txn.marks.append(lambda revision, n=chunk.n, gen=chunk.gen: self._chunk_durable(job, n, gen, revision))  # type: ignore[misc]
+        if job.reason_gen > job.reason_durable and job.active and txn.room(2, 4096):
+            txn.put(job.job_path, job.record(), job.stamp)
+            txn.put(job.head_path, job.record(), job.stamp)
+            txn.bytes += 4096
+            txn.marks.append(lambda revision, gen=job.reason_gen: self._reason_durable(job, gen, revision))  # type: ignore[misc]
+
+    def _write_outcome(self, job: Job, txn: Txn) -> None:
+        chunks = [chunk for chunk in job.chunks.values() if chunk.stamp]
+        together, later = chunks[: txn.ops - 4], chunks[txn.ops - 4 :]
+        if not txn.room(len(together) + 2, 4096):
+            return
+        if job.phase is JobPhase.OVER:
+            txn.put(job.job_path, job.record(), job.stamp)
+        txn.put(job.head_path, None, job.stamp)
+        for chunk in together:
+            txn.put(job.path(chunk.n), None, chunk.stamp)
+        txn.bytes += 4096
+        txn.marks.append(lambda revision: self._outcome_durable(job, later))
+
+    def _write_machine(self, machine: Machine, txn: Txn) -> None:
+        moves = machine.to is not None and machine.empty and machine.phase is MachinePhase.LEAVING
+        bump = machine.bump and any(sent >= self.token(machine) for sent in machine.outstanding.values())
+        if not (moves or bump or machine.doom_gen) or not txn.room(1, 300):
+            return
+        to = machine.to if moves and machine.to is not None else self.name
+        txn.put(f"machine/{machine.name}", machine.value(to), machine.stamp)
+        txn.bytes += 300
+        txn.marks.append(lambda revision: self._machine_written(machine, to, revision))
+
+    def _machine_written(self, machine: Machine, to: str, revision: int) -> None:
+        machine.stamp = revision
+        machine.doom_gen = 0
+        machine.bump = False
+        if to != self.name:
+            log.info("machine %s goes to %s", machine.name, to or "the pool")
+            self.machines.pop(machine.name, None)
+
+    def _chunk_durable(self, job: Job, n: int, gen: int, revision: int) -> None:
+        chunk = job.chunk(n)
+        chunk.stamp = revision
+        chunk.durable = max(chunk.durable, gen)
+        for placement in job.live.values():
+            if placement.phase is Phase.INTENDED and placement.gen <= gen and job.chunk_of(placement.task) is chunk:
+                if placement.phase is Phase.INTENDED:
+                    placement.committed()
+                    self.urgent.add(placement.machine)
+
+    def _reason_durable(self, job: Job, gen: int, revision: int) -> None:
+        job.reason_durable = gen
+        job.stamp = revision
+
+    def _outcome_durable(self, job: Job, later: list[Any]) -> None:
+        self.leftover += [(job.path(chunk.n), chunk.stamp) for chunk in later]
+        if job.phase is JobPhase.OVER:
+            log.info("job %s is done", job.id)
+        job.phase = JobPhase.FINAL
+        for placement in list(job.live.values()):
+            self._drop(placement, placement.placed_at)
+        self.parks.drop(job.id)
+        self.jobs.pop(job.id, None)
+
+    def reread(self, path: str, value: Any, stamp: int, now: float) -> None:
+        """A condition of ours failed though the part is still ours: take in what the key holds now.
+
+        Only a transaction of our own that was applied late, a withdrawal, or the leader's deletion of a
+        machine that is gone can have changed it.
+        """
+        kind, _, rest = path.partition("/")
+        if kind == "job":
+            job = self.jobs.get(rest)
+            if job is None or value is None:
+                return
+            if value["status"] == "withdrawn":
+                self.cancel(rest, value.get("cancelled_at", now), stamp, now)
+            job.stamp = stamp
+            if value["status"] == "done" and job.phase is JobPhase.OVER:
+                self._outcome_durable(job, [])
+        elif kind == "work":
+            _, job_id, tail = rest.split("/", 2)
+            job = self.jobs.get(job_id)
+            if job is None:
+                return
+            if tail != "job":
+                job.chunk(int(tail)).stamp = stamp
+            elif value is None and job.phase is JobPhase.CANCELLED:
+                self._outcome_durable(job, [])
+        elif kind == "park":
+            n = int(rest.rsplit("/", 1)[1])
+            self.parks.wrote(n, value, stamp)
+            self.parks.dirty = True
+        elif kind == "machine":
+            if value is None:
+                self.machine_gone(rest, now)
+            elif value.get("p") != self.name:
+                self.machines.pop(rest, None)
+            else:
+                self.add_machine(rest, value, stamp, now)
+
+    def counts(self) -> list[tuple[str, int, int]]:
+        return [(job.id, job.done, job.running) for job in self.jobs.values() if job.active]
+
+    def tasks_per(self, spec: Spec, shape: MachineType) -> int:
+        return capacity(shape, spec.cpus, spec.gpus, spec.memory_gb)
--- /dev/null
+++ b/ashdock/core/task.py
@@ -0,0 +1,113 @@
+"""A task's states and one placement of it on a machine, each change of state a function of its own."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class TaskState(IntEnum):
+    """One byte a task, so that an array of 100,000 costs 100 kB."""
+
+    READY = 0
+    LIVE = 1  # has a placement that counts
+    PARKED = 2
+    DONE = 3
+
+
+class Phase(IntEnum):
+    """Where a placement stands. It counts towards every bound until `part` drops it on proof of its stop."""
+
+    INTENDED = 0  # in memory only: nothing may be sent
+    COMMITTED = 1  # durable: a start may be sent
+    ORDERED = 2  # a start was, or may have been, sent
+    HELD = 3  # its worker reported it
+    STOPPING = 4  # to be stopped, and not yet confirmed
+
+
+class Failure(NamedTuple):
+    """A task's own failures in the running episode."""
+
+    count: int
+    first: float
+    why: str
+    past: int = 0  # 1 once the episode's bounds are behind it
+
+
+class Placement:
+    __slots__ = (
+        "attempt", "gen", "held_at", "job", "leeway", "machine", "ordered", "phase", "placed_at", "recalled",
+        "seen", "status", "stop_at", "task", "why",
+    )  # fmt: skip
+
+    def __init__(self, job: str, task: int, attempt: int, machine: str, gen: int, now: float) -> None:
+        self.job = job
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.gen = gen  # the chunk must be durable up to here before a start is sent
+        self.placed_at = now
+        self.phase = Phase.INTENDED
+        self.ordered: tuple[int, int] | None = None  # tenure and tally of the report whose answer carried the start
+        self.seen = False
+        self.status = ""
+        self.held_at: float | None = None  # image held since
+        self.stop_at: float | None = None
+        self.leeway = 0.0
+        self.why = ""
+        self.recalled = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        return self.job, self.task
+
+    def committed(self) -> None:
+        if self.phase is Phase.INTENDED:
+            self.phase = Phase.COMMITTED
+
+    def inherited(self) -> None:
+        """Read from the state service: an earlier owner may have sent its start."""
+        self.phase = Phase.ORDERED
+
+    def answered_with_start(self, tenure: int, tally: int) -> None:
+        if self.phase is Phase.COMMITTED:
+            self.phase = Phase.ORDERED
+        self.ordered = (tenure, tally)
+
+    def sent_directly(self) -> None:
+        if self.phase is Phase.COMMITTED:
+            self.phase = Phase.ORDERED
+
+    def held(self, status: str, now: float) -> None:
+        self.seen = True
+        self.status = status
+        if status != "pulling" and self.held_at is None:
+            self.held_at = now
+        if self.phase is not Phase.STOPPING:
+            self.phase = Phase.HELD
+
+    def stop(self, why: str, leeway: float, now: float) -> None:
+        if self.phase is Phase.STOPPING:
+            if leeway < self.leeway:  # a second, harder word ends a save
+                self.leeway = leeway
+            return
+        self.phase = Phase.STOPPING
+        self.why = why
+        self.leeway = leeway
+        self.stop_at = now
+
+    @property
+    def never_sent(self) -> bool:
+        """Only this process could have sent the start, and it has not."""
+        return self.phase <= Phase.COMMITTED
+
+
+def ranges_of(numbers: list[int]) -> list[list[int]]:
+    """Ascending numbers as inclusive ranges."""
+    out: list[list[int]] = []
+    for number in numbers:
+        if out and out[-1][1] == number - 1:
+            out[-1][1] = number
+        else:
+            out.append([number, number])
+    return out
--- /dev/null
+++ b/ashdock/front.py
@@ -0,0 +1,276 @@
+"""What users, workers and health checks ask of a controller, and how each is answered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+import time
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ashdock.core.job import job_record
+from ashdock.core.machine import capacity
+from ashdock.core.quota import can_ever
+from ashdock.net.http import Answer, Request
+from ashdock.net.state import Conflict, Entry, Unavailable
+from ashdock.wire import messages
+from ashdock.wire.messages import Malformed, Spec
+
+if TYPE_CHECKING:
+    from ashdock.controller import Controller
+
+log = logging.getLogger("ashdock.front")
+
+JOB = re.compile(r"^/v2/runs/([0-9A-Za-z_.-]{1,120})(/withdraw)?$")
+FINALS = 20_000  # final answers kept at hand; the rest are read again
+
+
+def error(status: int, why: str, retry_after: int | None = None) -> Answer:
+    return Answer(status, messages.encode({"error": why}), retry_after)
+
+
+class Front:
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
+        self.finals: OrderedDict[str, tuple[str, int, str | None]] = OrderedDict()
+        self.reads: dict[str, asyncio.Future[Entry | None]] = {}
+        self.redirected: dict[str, tuple[float, str]] = {}  # worker: when we last sent it to its owner, and which
+        self.relaying: dict[str, float] = {}  # worker: relayed for since
+
+    async def handle(self, request: Request) -> Answer:
+        path = request.target.partition("?")[0]
+        if path == "/checkin":
+            return await self.checkin(request.body) if request.method == "POST" else error(405, "POST only")
+        if path == "/ready":
+            return Answer(200, b"{}") if self.controller.ready() else error(503, "not ready", 1)
+        if path == "/v2/runs":
+            return await self.submit(request.body) if request.method == "POST" else error(405, "POST only")
+        match = JOB.match(path)
+        if match is None:
+            return error(404, "no such page")
+        job_id, withdraw = match.groups()
+        if withdraw:
+            return await self.withdraw(job_id) if request.method == "POST" else error(405, "POST only")
+        return await self.status(job_id) if request.method == "GET" else error(405, "GET only")
+
+    # -- submissions ---------------------------------------------------------------------------------------------
+
+    async def submit(self, body: bytes) -> Answer:
+        try:
+            spec = messages.spec_of(messages.decode_run(body))
+        except Malformed as why:
+            return error(400, str(why))
+        controller = self.controller
+        final = self.finals.get(spec.id)
+        if final:
+            return Answer(200, self._final(spec.id, final))
+        if not controller.catalog:
+            return error(503, "the machine types are not known yet", 1)
+        if not self._state_usable():
+            return error(503, "the state service does not answer", self._retry_after())
+        why = self.never(spec)
+        if why:
+            # A job that was accepted is never refused afterwards, whatever its later copies say.
+            try:
+                entry = await self._read(spec.id)
+            except Unavailable:
+                return error(503, "the state service does not answer", self._retry_after())
+            return Answer(200, self._state(spec.id, entry)) if entry else error(422, why)
+        now = controller.now()
+        record = job_record(spec, round(now, 3))
+        path = f"job/{spec.id}"
+        writes = {path: record, f"work/{spec.team}/{spec.id}/job": record}
+        try:
+            stamp = await self._bounded(controller.state.txn({path: 0}, writes))
+        except Conflict:
+            try:
+                entry = await self._read(spec.id)
+            except Unavailable:
+                return error(503, "the state service does not answer", self._retry_after())
+            if entry is None:
+                return error(503, "try again", 1)
+            return Answer(200, self._state(spec.id, entry))
+        except Unavailable:
+            return error(503, "the state service does not answer", self._retry_after())
+        log.info("job %s of %s accepted: %s of %d, priority %d", spec.id, spec.team, spec.kind, spec.tasks, spec.priority)
+        controller.jobs_seen(path, record, stamp)
+        return Answer(201, messages.encode({"id": spec.id, "status": "queued"}))
+
+    def never(self, spec: Spec) -> str | None:
+        """Why the job can never run, if so."""
+        controller = self.controller
+        team = next((team for team in controller.shared.teams if team.name == spec.team), None)
+        if team is None:
+            return f"no team {spec.team!r}"
+        fits = [
+            shape
+            for shape in controller.catalog.values()
+            if (spec.types is None or shape.label in spec.types)
+            and (spec.zone is None or spec.zone in shape.yards)
+            and capacity(shape, spec.cpus, spec.gpus, spec.memory_gb) > 0
+        ]
+        if not fits:
+            return "a task fits no machine type that the job allows"
+        if not can_ever(team, spec):
+            return f"the job needs more than the limit of team {spec.team!r}"
+        return None
+
+    # -- status ----------------------------------------------------------------------------------------------------
+
+    async def status(self, job_id: str) -> Answer:
+        final = self.finals.get(job_id)
+        if final:
+            return Answer(200, self._final(job_id, final))
+        if not self._state_usable():
+            return error(503, "the state service does not answer", self._retry_after())
+        try:
+            entry = await self._bounded(self._read(job_id))
+        except Unavailable:
+            return error(503, "the state service does not answer", self._retry_after())
+        if entry is None:
+            return error(404, "no such job")
+        return Answer(200, self._state(job_id, entry))
+
+    async def withdraw(self, job_id: str) -> Answer:
+        controller = self.controller
+        for _ in range(4):
+            final = self.finals.get(job_id)
+            if final:
+                return Answer(200, messages.encode({"id": job_id, "status": final[0]}))
+            if not self._state_usable():
+                break
+            try:
+                entry = await self._bounded(self._read(job_id))
+                if entry is None:
+                    return error(404, "no such job")
+                if entry.value["status"] != "queued":
+                    self.saw(job_id, entry.value)
+                    continue
+                record = {**entry.value, "status": "withdrawn", "cancelled_at": round(controller.now(), 3)}
+                path = entry.path
+                head = f"work/{record['spec']['team']}/{job_id}/job"
+                # Durable first. Every start names the job's stamp, so none can be committed after this.
+                stamp = await self._bounded(controller.state.txn({path: entry.stamp}, {path: record, head: record}))
+                log.info("job %s withdrawn", job_id)
+                controller.jobs_seen(path, record, stamp)
+            except Conflict:
+                continue
+            except Unavailable:
+                break
+        return error(503, "try again", self._retry_after())
+
+    def _state_usable(self) -> bool:
+        """While the state service is known not to answer, users are told so at once."""
+        state = self.controller.state
+        return state.bad_since is None or time.monotonic() - state.bad_since < self.controller.ttl_s / 8
+
+    def _retry_after(self) -> int:
+        return 1 if self.controller.state_fresh() else 2
+
+    async def _bounded(self, call: Any) -> Any:
+        """Given up in time for the user to hear of it: a poll waits 2 s."""
+        try:
+            async with asyncio.timeout(1.5):
+                return await call
+        except TimeoutError:
+            raise Unavailable("no answer in time", unknown=True) from None
+
+    async def _read(self, job_id: str) -> Entry | None:
+        """A read that began after it was asked for... or is shared with others who ask at the same time."""
+        future = self.reads.get(job_id)
+        if future is None:
+            future = asyncio.ensure_future(self._read_now(job_id))
+            self.reads[job_id] = future
+        return await asyncio.shield(future)
+
+    async def _read_now(self, job_id: str) -> Entry | None:
+        try:
+            # Only readers who come before the request is sent share it: an answer on its way may be too old.
+            await asyncio.sleep(0)
+            self.reads.pop(job_id, None)
+            return await self.controller.state.get(f"job/{job_id}")
+        finally:
+            self.reads.pop(job_id, None)
+
+    def saw(self, job_id: str, value: dict[str, Any]) -> None:
+        if value["status"] in ("done", "withdrawn"):
+            spec = value["spec"]
+            tasks = spec["tasks"] if isinstance(spec, dict) else spec.tasks
+            self.finals[job_id] = (value["status"], tasks, value.get("reason"))
+            if len(self.finals) > FINALS:
+                self.finals.popitem(last=False)
+
+    def is_final(self, job_id: str) -> bool:
+        return job_id in self.finals
+
+    def _final(self, job_id: str, final: tuple[str, int, str | None]) -> bytes:
+        status, tasks, reason = final
+        return messages.status_answer(job_id, status, tasks if status == "done" else 0, 0, reason)
+
+    def _state(self, job_id: str, entry: Entry) -> bytes:
+        value = entry.value
+        self.saw(job_id, value)
+        final = self.finals.get(job_id)
+        if final:
+            return self._final(job_id, final)
+        spec = msgspec.convert(value["spec"], Spec)
+        done, running = self.controller.counts(spec.team, job_id)
+        return messages.status_answer(job_id, "running" if running else "queued", done, running, value.get("reason"))
+
+    # -- workers ---------------------------------------------------------------------------------------------------------
+
+    async def checkin(self, body: bytes, relayed: bool = False) -> Answer:
+        try:
+            report = messages.decode_report(body)
+        except Malformed as why:
+            return error(400, str(why))
+        controller = self.controller
+        if not relayed:
+            controller.last_report = time.monotonic()
+        entry = controller.machines.entries.get(f"machine/{report.berth}")
+        if entry is None or entry.value["p"] == "":
+            return self._ownerless(report, known=entry is not None)
+        team = entry.value["p"]
+        owner = controller.owners.get(team)
+        if owner is not None:
+            orders = await owner.report(report)
+            if orders is not None:
+                self.redirected.pop(report.berth, None)
+                return Answer(200, messages.encode(orders))
+        label = controller.owner_label(team)
+        if label is None or label == controller.label or relayed:
+            return error(503, "not the owner")
+        return await self._elsewhere(report, body, label)
+
+    def _ownerless(self, report: messages.Report, known: bool) -> Answer:
+        leader = self.controller.leader
+        if leader and not known:
+            leader.stray(report)
+        label = self.controller.leader_label()
+        if leader is None and label and label != self.controller.label:
+            return Answer(421, messages.encode({"harbour": label}))
+        return error(503, "lent to nobody yet")
+
+    async def _elsewhere(self, report: messages.Report, body: bytes, label: str) -> Answer:
+        """Send a worker to its owner; if it is back here soon, it can't reach the owner, so pass its report on."""
+        controller = self.controller
+        now = time.monotonic()
+        lease = controller.workers.lease_s
+        since = self.relaying.get(report.berth)
+        at, where = self.redirected.get(report.berth, (-1e9, ""))
+        came_back = where == label and now - at < lease * 0.75
+        if (came_back and now - at > 0.6) or (since is not None and now - since < lease):
+            answer = await controller.relay(label, body)
+            if answer is not None and answer.status == 200:
+                if since is None:
+                    log.info("passing on the reports of %s to %s", report.berth, label)
+                    self.relaying[report.berth] = now
+                return Answer(200, answer.body)
+        self.relaying.pop(report.berth, None)
+        self.redirected[report.berth] = (now, label)
+        if len(self.redirected) > 5000:
+            self.redirected.clear()
+        return Answer(421, messages.encode({"harbour": label}))
--- /dev/null
+++ b/ashdock/net/cloud.py
@@ -0,0 +1,91 @@
+"""The cloud's end: what the leader asks of it."""
+
+from __future__ import annotations
+
+import logging
+from urllib.parse import quote
+
+import msgspec
+
+from ashdock.net.budget import Budget
+from ashdock.net.http import Client, NoAnswer
+from ashdock.settings import Shared
+from ashdock.wire.messages import Catalog, Host, Hosts, MachineType, Rented
+
+log = logging.getLogger("ashdock.cloud")
+
+_catalog = msgspec.json.Decoder(Catalog)
+_hosts = msgspec.json.Decoder(Hosts)
+_rented = msgspec.json.Decoder(Rented)
+
+
+class CloudTrouble(Exception):
+    """It did not answer properly. If `unknown`, the request may still be carried out."""
+
+    def __init__(self, why: str, unknown: bool) -> None:
+        super().__init__(why)
+        self.unknown = unknown
+
+
+class NoCapacity(Exception):
+    pass
+
+
+class CloudClient:
+    def __init__(self, host: str, port: int, shared: Shared) -> None:
+        self.client = Client(host, port, keep=4)
+        # Mostly the leader alone calls; the rest of the limit is left to one that has not heard yet that it is none.
+        self.budget = Budget(shared.cloud.rps * 0.6, burst_s=1.0)
+        self.timeout = shared.workers.lease_s / 2
+
+    async def _call(self, method: str, target: str, body: bytes = b"", urgent: bool = True) -> tuple[int, bytes]:
+        await self.budget.wait(1, urgent)
+        try:
+            status, answer = await self.client.request(method, target, body, self.timeout)
+        except NoAnswer as why:
+            raise CloudTrouble(str(why), why.sent) from None
+        if status in (429, 500, 502, 504) or (status == 503 and b"no capacity" not in answer):
+            raise CloudTrouble(f"status {status}", False)
+        return status, answer
+
+    async def catalog(self) -> dict[str, MachineType]:
+        status, answer = await self._call("GET", "/catalog")
+        if status != 200:
+            raise CloudTrouble(f"status {status}", False)
+        try:
+            return {shape.label: shape for shape in _catalog.decode(answer).hulls}
+        except msgspec.DecodeError as why:
+            raise CloudTrouble(str(why), False) from None
+
+    async def rent(self, charter: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = msgspec.json.encode({"charter": charter, "hull": kind, "yard": zone, "loaners": spot, "how_many": count})
+        status, answer = await self._call("POST", "/hosts", body)
+        if status == 503:
+            raise NoCapacity
+        if status != 200:
+            raise CloudTrouble(f"status {status}: {answer[:200]!r}", False)
+        try:
+            return _rented.decode(answer).berths
+        except msgspec.DecodeError as why:
+            raise CloudTrouble(str(why), True) from None
+
+    async def release(self, names: list[str]) -> None:
+        status, answer = await self._call("POST", "/hosts/release", msgspec.json.encode({"berths": names}))
+        if status != 200:
+            raise CloudTrouble(f"status {status}: {answer[:200]!r}", False)
+
+    async def hosts(self) -> list[Host]:
+        out: list[Host] = []
+        after = ""
+        while True:
+            status, answer = await self._call("GET", f"/hosts?from={quote(after)}&most=500", urgent=False)
+            if status != 200:
+                raise CloudTrouble(f"status {status}", False)
+            try:
+                page = _hosts.decode(answer)
+            except msgspec.DecodeError as why:
+                raise CloudTrouble(str(why), False) from None
+            out += page.berths
+            if not page.truncated or not page.berths:
+                return out
+            after = page.berths[-1].id
--- /dev/null
+++ b/ashdock/net/state.py
@@ -0,0 +1,286 @@
+"""The state service's end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import Any, NamedTuple
+
+import msgspec
+from msgspec import Struct
+
+from ashdock.net.budget import Budget
+from ashdock.net.http import Client, NoAnswer
+from ashdock.settings import Shared
+
+log = logging.getLogger("ashdock.state")
+
+
+class Unavailable(Exception):
+    """The state service did not do it, or it is not known whether it did (`unknown`)."""
+
+    def __init__(self, why: str, unknown: bool = False) -> None:
+        super().__init__(why)
+        self.unknown = unknown
+
+
+class Conflict(Exception):
+    """A condition did not hold."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(",".join(failed))
+        self.failed = failed
+
+
+class HoldLost(Exception):
+    """The lease named is over."""
+
+
+class Expired(Exception):
+    """The watch's starting point is too old: read again."""
+
+
+class Entry(NamedTuple):
+    path: str
+    value: Any
+    stamp: int
+
+
+class _Entry(Struct):
+    path: str
+    stamp: int
+    value: Any = None
+
+
+class _List(Struct):
+    entries: list[_Entry]
+    ledger: int
+    truncated: bool = False
+
+
+class _Ledger(Struct):
+    ledger: int
+
+
+class _Failed(Struct):
+    failed: list[str] = []
+
+
+class _Permit(Struct):
+    permit: int
+
+
+class Change(Struct):
+    stamp: int
+    set: str | None = None
+    delete: str | None = None
+    value: Any = None
+
+
+class _News(Struct):
+    ledger: int
+    news: list[Change] = []
+
+
+_entry = msgspec.json.Decoder(_Entry)
+_list = msgspec.json.Decoder(_List)
+_ledger = msgspec.json.Decoder(_Ledger)
+_failed = msgspec.json.Decoder(_Failed)
+_permit = msgspec.json.Decoder(_Permit)
+_news = msgspec.json.Decoder(_News)
+
+
+class StateClient:
+    def __init__(self, host: str, port: int, shared: Shared) -> None:
+        self.client = Client(host, port, keep=12)
+        self.watcher = Client(host, port, keep=8)
+        share = 1.0 / shared.size
+        self.requests = Budget(shared.state.rps * share * 0.9)
+        self.writes = Budget(shared.state.write_rps * share * 0.9)
+        self.timeout = shared.workers.lease_s / 5
+        self.ok_at = time.monotonic()  # when it last answered us properly
+        self.bad_since: float | None = None
+
+    @property
+    def silent_for(self) -> float:
+        return time.monotonic() - self.ok_at
+
+    async def _call(self, method: str, target: str, body: bytes = b"", timeout: float | None = None, watch: bool = False) -> tuple[int, bytes]:
+        started = time.monotonic()
+        try:
+            client = self.watcher if watch else self.client
+            status, answer = await client.request(method, target, body, timeout or self.timeout)
+        except NoAnswer as why:
+            self._bad(str(why))
+            raise Unavailable(str(why), why.sent) from None
+        if status in (429, 503) or status >= 500:
+            if status != 429:
+                self._bad(f"status {status}")
+            raise Unavailable(f"status {status}")
+        if not watch:
+            self.ok_at = max(self.ok_at, started)
+            if self.bad_since is not None:
+                log.info("the state service answers again after %.1f s", time.monotonic() - self.bad_since)
+                self.bad_since = None
+        return status, answer
+
+    def _bad(self, why: str) -> None:
+        if self.bad_since is None:
+            self.bad_since = time.monotonic()
+            log.info("the state service does not answer: %s", why)
+
+    @staticmethod
+    def _decode(decoder: msgspec.json.Decoder[Any], answer: bytes) -> Any:
+        try:
+            return decoder.decode(answer)
+        except msgspec.DecodeError as why:
+            raise Unavailable(f"answer not understood: {why}", unknown=True) from None
+
+    async def get(self, path: str, urgent: bool = True) -> Entry | None:
+        await self.requests.wait(1, urgent)
+        status, answer = await self._call("GET", f"/store/{path}")
+        if status == 404:
+            return None
+        if status != 200:
+            raise Unavailable(f"status {status}")
+        entry = self._decode(_entry, answer)
+        return Entry(path, entry.value, entry.stamp)
+
+    async def list(self, under: str, urgent: bool = True) -> tuple[list[Entry], int]:
+        """All keys with the prefix, and a revision that the whole list takes in or precedes."""
+        out: list[Entry] = []
+        after = ""
+        ledger: int | None = None
+        while True:
+            await self.requests.wait(1, urgent)
+            target = f"/store?under={under}&most=500" + (f"&from={after}" if after else "")
+            status, answer = await self._call("GET", target)
+            if status != 200:
+                raise Unavailable(f"status {status}")
+            page = self._decode(_list, answer)
+            ledger = page.ledger if ledger is None else ledger
+            out += [Entry(entry.path, entry.value, entry.stamp) for entry in page.entries]
+            if not page.truncated or not page.entries:
+                return out, ledger or 0
+            after = page.entries[-1].path
+
+    async def txn(
+        self, when: dict[str, int], writes: dict[str, Any], hold: int | None = None, urgent: bool = True
+    ) -> int:
+        """Apply the writes (None deletes) if every stamp holds. The revision, or Conflict or Unavailable."""
+        await self.writes.wait(len(writes), urgent)
+        await self.requests.wait(1, urgent)
+        body: dict[str, Any] = {"when": [{"path": path, "stamp": stamp} for path, stamp in when.items()]}
+        if writes:
+            body["writes"] = [self._write(path, value, hold) for path, value in writes.items()]
+        status, answer = await self._call("POST", "/txn", msgspec.json.encode(body))
+        if status == 200:
+            return int(self._decode(_ledger, answer).ledger)
+        if status == 409:
+            raise Conflict(self._decode(_failed, answer).failed)
+        if status == 400 and b"no such lease" in answer:
+            raise HoldLost
+        raise Unavailable(f"status {status}: {answer[:200]!r}")
+
+    @staticmethod
+    def _write(path: str, value: Any, hold: int | None) -> dict[str, Any]:
+        if value is None:
+            return {"delete": path}
+        write = {"set": path, "value": value}
+        if hold is not None:
+            write["permit"] = hold
+        return write
+
+    async def hold(self, ttl_ms: int) -> int:
+        await self.requests.wait(1)
+        status, answer = await self._call("POST", "/holds", msgspec.json.encode({"ttl_ms": ttl_ms}))
+        if status != 200:
+            raise Unavailable(f"status {status}")
+        return int(self._decode(_permit, answer).permit)
+
+    async def renew(self, hold: int, timeout: float) -> None:
+        self.requests.take(1)
+        status, _ = await self._call("POST", f"/holds/{hold}/renew", timeout=timeout)
+        if status == 404:
+            raise HoldLost
+        if status != 200:
+            raise Unavailable(f"status {status}")
+
+    async def changes(self, under: str, after: int, hold_ms: int) -> tuple[list[Change], int]:
+        await self.requests.wait(1)
+        target = f"/changes?under={under}&from={after}&hold_ms={hold_ms}"
+        status, answer = await self._call("GET", target, timeout=hold_ms / 1000 + 30, watch=True)
+        if status == 410:
+            raise Expired
+        if status != 200:
+            raise Unavailable(f"status {status}")
+        news = self._decode(_news, answer)
+        return news.news, news.ledger
+
+
+class Replica:
+    """A prefix kept in memory by watching it. Behind the store by a few milliseconds, or by an outage."""
+
+    def __init__(self, state: StateClient, under: str, keep: bool = True, hold_ms: int = 20_000) -> None:
+        self.state = state
+        self.keep = keep  # if not, only changes from now on are passed on, and nothing is held
+        self.under = under
+        self.hold_ms = hold_ms
+        self.entries: dict[str, Entry] = {}
+        self.ledger = 0
+        self.ready = asyncio.Event()
+        self.news: list[Any] = []  # called with (path, value or None, stamp)
+
+    def on_change(self, call: Any) -> None:
+        self.news.append(call)
+
+    def _apply(self, path: str, value: Any, stamp: int) -> None:
+        known = self.entries.get(path)
+        if known and known.stamp >= stamp:
+            return
+        if value is None:
+            self.entries.pop(path, None)
+        elif self.keep:
+            self.entries[path] = Entry(path, value, stamp)
+        for call in self.news:
+            call(path, value, stamp)
+
+    def wrote(self, path: str, value: Any, stamp: int) -> None:
+        """Our own write, taken in without waiting for the watch to bring it back."""
+        if stamp > self.ledger:
+            self._apply(path, value, stamp)
+
+    async def run(self) -> None:
+        pause = 0.05
+        while True:
+            try:
+                if not self.ready.is_set():
+                    await self._read()
+                news, ledger = await self.state.changes(self.under, self.ledger, self.hold_ms)
+                for change in news:
+                    if change.set is not None:
+                        self._apply(change.set, change.value, change.stamp)
+                    elif change.delete is not None:
+                        self._apply(change.delete, None, change.stamp)
+                self.ledger = max(self.ledger, ledger)
+                pause = 0.05
+            except Expired:
+                self.ready.clear()
+            except Unavailable:
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, 1.0)
+
+    async def _read(self) -> None:
+        if not self.keep:
+            _, self.ledger = await self.state.list("leader")
+            self.ready.set()
+            return
+        entries, ledger = await self.state.list(self.under)
+        found = {entry.path for entry in entries}
+        for path in [path for path in self.entries if path not in found]:
+            self._apply(path, None, ledger)
+        for entry in entries:
+            self._apply(*entry)
+        self.ledger = ledger
+        self.ready.set()
--- /dev/null
+++ b/ashdock/owner.py
@@ -0,0 +1,233 @@
+"""Owning a part: claim it, rebuild it, run it, and let go when the claim is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from ashdock.core.machine import Machine
+from ashdock.core.part import Part
+from ashdock.net.http import NoAnswer
+from ashdock.net.state import Conflict, Unavailable
+from ashdock.settings import Team
+from ashdock.wire.messages import Order, Orders, Report
+
+if TYPE_CHECKING:
+    from ashdock.controller import Controller
+
+log = logging.getLogger("ashdock.owner")
+
+
+class OwnerPhase(Enum):
+    CLAIMING = "claiming"
+    LOADING = "loading"
+    ACTIVE = "active"
+    LOST = "lost"
+
+
+class Owner:
+    def __init__(self, controller: Controller, team: Team, stamp: int) -> None:
+        self.controller = controller
+        self.team = team
+        self.claimed_from = stamp
+        self.phase = OwnerPhase.CLAIMING
+        self.part: Part | None = None
+        self.wake = asyncio.Event()
+        self.ready = asyncio.Event()
+        self.early: list[Callable[[Part], None]] = []  # changes seen while the part was being read
+        self.sends: set[asyncio.Task[None]] = set()
+        self.task = asyncio.create_task(self._run())
+
+    # -- changes of state ------------------------------------------------------------------------
+
+    def _claimed(self, stamp: int) -> None:
+        self.phase = OwnerPhase.LOADING
+        self.part = Part(
+            self.team, stamp, self.controller.shared, self.controller.settings.operators, self.controller.catalog,
+            random.Random(self.controller.rng.random()),
+        )  # fmt: skip
+
+    def _loaded(self) -> None:
+        self.phase = OwnerPhase.ACTIVE
+        assert self.part
+        for change in self.early:
+            change(self.part)
+        self.early.clear()
+        self.ready.set()
+        log.info(
+            "part %s is ours with token %d: %d jobs, %d machines, %d parks",
+            self.team.name, self.part.stamp, len(self.part.jobs), len(self.part.machines), len(self.part.parks.items),
+        )  # fmt: skip
+
+    def lost(self, why: str) -> None:
+        if self.phase is OwnerPhase.LOST:
+            return
+        log.info("part %s is no longer ours: %s", self.team.name, why)
+        self.phase = OwnerPhase.LOST
+        self.controller.owners.pop(self.team.name, None)
+        self.wake.set()
+
+    # -- what others tell us -----------------------------------------------------------------------
+
+    def note(self, change: Callable[[Part], None]) -> None:
+        """A change to take in, now or as soon as the part is read."""
+        if self.phase is OwnerPhase.ACTIVE and self.part:
+            change(self.part)
+            self.wake.set()
+        elif self.phase is not OwnerPhase.LOST:
+            self.early.append(change)
+
+    async def report(self, report: Report) -> Orders | None:
+        if self.phase is not OwnerPhase.ACTIVE:
+            try:
+                async with asyncio.timeout(self.controller.workers.report_s / 2):
+                    await self.ready.wait()
+            except TimeoutError:
+                return None
+        part = self.part
+        if self.phase is not OwnerPhase.ACTIVE or part is None or not self.controller.may_renew():
+            return None
+        orders = part.on_report(report, self.controller.now(), checkin=True)
+        if orders is None:
+            return None
+        self.wake.set()
+        return Orders(part.token(part.machines[report.berth]), orders)
+
+    # -- the loop ------------------------------------------------------------------------------------
+
+    async def _run(self) -> None:
+        try:
+            await self._claim()
+            while self.phase is OwnerPhase.ACTIVE:
+                self.wake.clear()
+                await self._turn()
+                try:
+                    async with asyncio.timeout(self.controller.tick_s):
+                        await self.wake.wait()
+                        # Things come in bunches: what arrives together is decided and written together.
+                        await asyncio.sleep(self.controller.gather_s)
+                except TimeoutError:
+                    pass
+        except Conflict as why:
+            self.lost(f"claimed by another ({why})")
+        except Unavailable as why:
+            self.lost(f"the state service: {why}")
+        except Exception:
+            log.exception("part %s", self.team.name)
+            self.lost("an error of ours")
+
+    async def _claim(self) -> None:
+        name = self.team.name
+        path = f"part/{name}"
+        state = self.controller.state
+        value = {"owner": self.controller.label}
+        stamp = await state.txn({path: self.claimed_from}, {path: value})
+        self.controller.parts.wrote(path, value, stamp)
+        self._claimed(stamp)
+        part = self.part
+        assert part
+        # Read after the claim: no earlier owner can write from here on, so this is all there is.
+        (machines, seen), (work, _), (parks, _) = await asyncio.gather(
+            state.list("machine/"), state.list(f"work/{name}/"), state.list(f"park/{name}/")
+        )
+        mine = [(entry.path.split("/", 1)[1], entry.value, entry.stamp) for entry in machines if entry.value["p"] == name]
+        part.load(mine, list(work), list(parks), self.controller.now())
+        part.seen = max(part.seen, seen)
+        self._loaded()
+
+    async def _turn(self) -> None:
+        part = self.part
+        assert part
+        now = self.controller.now()
+        part.tick(now)
+        if self.controller.state_fresh():
+            part.schedule(now)
+        else:
+            part.wants = []
+        await self._commit(part)
+        self._send_urgent(part)
+
+    async def _commit(self, part: Part) -> None:
+        state = self.controller.state
+        for _ in range(16):
+            txn = part.next_txn()
+            if txn is None or self.phase is not OwnerPhase.ACTIVE:
+                return
+            try:
+                revision = await state.txn(txn.when, txn.writes)
+            except Conflict as why:
+                if not await self._reread(part, why.failed):
+                    return
+                continue
+            except Unavailable:
+                return  # tried again at the next turn; whether it was applied shows then by the stamps
+            for mark in txn.marks:
+                mark(revision)
+            self._publish(txn.writes, revision)
+            # Starts go out between transactions, not after the last of them.
+            self._send_urgent(part)
+
+    def _publish(self, writes: dict[str, Any], revision: int) -> None:
+        for path, value in writes.items():
+            if path.startswith("machine/"):
+                self.controller.machines.wrote(path, value, revision)
+            elif path.startswith("job/"):
+                self.controller.jobs_seen(path, value, revision)
+
+    async def _reread(self, part: Part, failed: list[str]) -> bool:
+        fence = f"part/{part.name}"
+        for path in failed or [fence]:
+            entry = await self.controller.state.get(path)
+            stamp = entry.stamp if entry else 0
+            if path == fence:
+                if stamp != part.stamp:
+                    self.lost("claimed by another")
+                    return False
+                continue
+            log.info("part %s: %s had changed; taken in", part.name, path)
+            part.reread(path, entry.value if entry else None, stamp, self.controller.now())
+        return True
+
+    # -- orders sent directly --------------------------------------------------------------------------
+
+    def _send_urgent(self, part: Part) -> None:
+        urgent, part.urgent = part.urgent, set()
+        if self.phase is not OwnerPhase.ACTIVE or not self.controller.may_renew():
+            return
+        for name in urgent:
+            machine = part.machines.get(name)
+            if machine is None:
+                continue
+            if machine.sending:
+                part.urgent.add(name)
+                continue
+            orders = part.direct(machine, self.controller.now())
+            if orders:
+                machine.sending = True
+                task = asyncio.create_task(self._send(part, machine, orders))
+                self.sends.add(task)
+                task.add_done_callback(self.sends.discard)
+
+    async def _send(self, part: Part, machine: Machine, orders: list[Order]) -> None:
+        try:
+            status, report = await self.controller.worker_client.orders(
+                machine.address, part.token(machine), machine.tenure, orders
+            )
+            part.direct_answered(machine, orders)
+            if report is not None and report.berth == machine.name and self.phase is OwnerPhase.ACTIVE:
+                part.on_report(report, self.controller.now(), checkin=False)
+            if status != 200:
+                log.debug("machine %s did not take orders: %d", machine.name, status)
+        except NoAnswer as why:
+            if why.sent:
+                part.direct_unanswered(machine, orders)
+            else:
+                part.direct_answered(machine, orders)
+            log.debug("machine %s did not answer: %s", machine.name, why)
+        finally:
+            machine.sending = False
+            self.wake.set()
--- /dev/null
+++ b/ashdock/settings.py
@@ -0,0 +1,199 @@
+"""The platform's settings file (TOML) and the operators' own (HCL), checked before anything starts."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+OPERATORS_FILE = Path(__file__).resolve().parent.parent / "deploy" / "ashdock.hcl"
+
+
+class SettingsError(Exception):
+    """One line that names the file, the field and what was expected there."""
+
+
+class Other(Struct):
+    label: Name
+    endpoint: str
+    area: str = ""
+
+
+class Outside(Struct):
+    cloud: str
+    state: str
+
+
+class Team(Struct):
+    name: Name
+    cpus: NotNegative = 0.0
+    cpus_max: NotNegative = 0.0
+    gpus: NotNegative = 0.0
+    gpus_max: NotNegative = 0.0
+
+
+class Objective(Struct):
+    kind: str
+    share: float = 0.0
+    job_class: str | None = field(default=None, name="class")
+    within_s: float | None = None
+    times: float | None = None
+
+
+class Workers(Struct):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(Struct):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class CloudLimits(Struct):
+    rps: Positive
+    list_lag_s: NotNegative
+
+
+class Limits(Struct):
+    core_share: Positive = 1.0
+    ram_mb: Positive = 256.0
+    max_connections: Annotated[int, Meta(ge=16)] = 1024
+
+
+class Shared(Struct):
+    """What every controller of the deployment is told alike."""
+
+    size: Annotated[int, Meta(ge=1)]
+    zones: list[str]
+    teams: list[Team]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    skew_ms: NotNegative = 0.0
+    objectives: list[Objective] = []
+    machine_limits: Limits = field(default_factory=Limits)
+
+
+class Retry(Struct, forbid_unknown_fields=True):
+    """How parked tasks come back. The document's own values are the defaults."""
+
+    first_delay_s: Positive = 2.0
+    factor: Annotated[float, Meta(ge=1)] = 2.0
+    cap_s: Positive = 60.0
+    park_at_once_s: Positive = 10.0
+    horizon_s: Positive = 900.0
+    most_parks: Annotated[int, Meta(ge=1)] = 30
+
+
+class Renting(Struct, forbid_unknown_fields=True):
+    """How freely machines are rented and kept."""
+
+    idle_boots: NotNegative = 1.0  # an empty machine is kept this many boot times
+    spot: bool = True
+    most_machines: Annotated[int, Meta(ge=0)] = 0  # 0: no bound of ours
+
+
+class Operators(Struct, forbid_unknown_fields=True):
+    retry: Retry = field(default_factory=Retry)
+    renting: Renting = field(default_factory=Renting)
+
+
+class Settings(Struct):
+    label: Name
+    area: str
+    bind: str
+    mesh_addr: str
+    outside: Outside
+    settings: Shared
+    others: list[Other] = []
+    operators: Operators = field(default_factory=Operators)
+
+
+def address(text: str, where: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise SettingsError(f"{where}: expected HOST:PORT, found {text!r}")
+    return host, int(port)
+
+
+def _convert(raw: Any, kind: Any, source: str) -> Any:
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as why:
+        raise SettingsError(f"{source}: {why}") from None
+
+
+def _finite(raw: Any, source: str, path: str = "$") -> None:
+    if isinstance(raw, float) and (raw != raw or abs(raw) == float("inf")):
+        raise SettingsError(f"{source}: Expected a finite number - at `{path}`")
+    if isinstance(raw, dict):
+        for key, value in raw.items():
+            _finite(value, source, f"{path}.{key}")
+    elif isinstance(raw, list):
+        for index, value in enumerate(raw):
+            _finite(value, source, f"{path}[{index}]")
+
+
+def load(path: str, operators_file: Path = OPERATORS_FILE) -> Settings:
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as why:
+        raise SettingsError(f"{path}: cannot be read: {why.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as why:
+        raise SettingsError(f"{path}: expected TOML: {why}") from None
+    raw.pop("operators", None)
+    _finite(raw, path)
+    settings: Settings = _convert(raw, Settings, path)
+    for where, text in (
+        ("bind", settings.bind),
+        ("mesh_addr", settings.mesh_addr),
+        ("outside.cloud", settings.outside.cloud),
+        ("outside.state", settings.outside.state),
+        *((f"others[{n}].endpoint", other.endpoint) for n, other in enumerate(settings.others)),
+    ):
+        address(text, f"{path}: {where}")
+    names = [team.name for team in settings.settings.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: settings.teams: expected distinct names")
+    if any(" " in name or "/" in name for name in names):
+        raise SettingsError(f"{path}: settings.teams: expected names without spaces or slashes")
+    workers = settings.settings.workers
+    if workers.cancel_s <= workers.lease_s:
+        raise SettingsError(f"{path}: settings.workers.cancel_s: expected more than lease_s ({workers.lease_s:g})")
+    if operators_file.exists():
+        settings.operators = load_operators(operators_file)
+    return settings
+
+
+def load_operators(path: Path) -> Operators:
+    import hcl2  # only where the file exists: the import costs start-up time
+
+    try:
+        with path.open(encoding="utf-8") as file:
+            raw = hcl2.load(file)
+    except Exception as why:  # the parser raises its own kinds, none of them documented
+        raise SettingsError(f"{path}: expected HCL: {str(why).splitlines()[0]}") from None
+    flat: dict[str, Any] = {}
+    for key, value in raw.items():
+        if key.startswith("__"):
+            continue
+        blocks = value if isinstance(value, list) else [value]
+        if len(blocks) != 1:
+            raise SettingsError(f"{path}: {key}: expected one block")
+        block = blocks[0]
+        flat[key] = {k: v for k, v in block.items() if not k.startswith("__")} if isinstance(block, dict) else block
+    _finite(flat, str(path))
+    operators: Operators = _convert(flat, Operators, str(path))
+    return operators
--- /dev/null
+++ b/ashdock/wire/frames.py
@@ -0,0 +1,240 @@
+"""What passes between controllers: frames packed by hand with struct.
+
+A frame is a head (magic, version, kind, length) and a body. A frame that is cut short, too long, of
+another version or malformed raises BadFrame, and the link it came on is closed.
+"""
+
+from __future__ import annotations
+
+import struct
+from enum import IntEnum
+from typing import NamedTuple
+
+from ashdock.core.part import Picture, Want
+
+MAGIC = b"AD"
+VERSION = 1
+HEAD = struct.Struct("!2sBBI")
+MOST = 512 * 1024
+
+U16 = struct.Struct("!H")
+U32 = struct.Struct("!I")
+U64 = struct.Struct("!Q")
+F64 = struct.Struct("!d")
+WANT = struct.Struct("!dddIB??dB")  # cpus gpus memory tasks priority spot together slack guaranteed
+BEAT = struct.Struct("!Qdd??")  # incarnation, age of the state's last answer, of the last worker's; ready, leader
+
+
+class BadFrame(Exception):
+    pass
+
+
+class FrameKind(IntEnum):
+    HELLO = 1
+    BEAT = 2
+    PICTURE = 3
+    YIELD = 4
+    RECALL = 5
+    RELAY = 6
+    RELAYED = 7
+    COUNTS = 8
+    GIVE = 9
+
+
+class Hello(NamedTuple):
+    label: str
+
+
+class Beat(NamedTuple):
+    incarnation: int
+    state_age: float
+    worker_age: float
+    ready: bool
+    leader: bool
+
+
+class Yield(NamedTuple):
+    part: str
+    machine: str
+    to: str
+
+
+class RecallFrame(NamedTuple):
+    part: str
+    machines: int
+
+
+class Relay(NamedTuple):
+    number: int
+    body: bytes
+
+
+class Relayed(NamedTuple):
+    number: int
+    status: int
+    body: bytes
+
+
+class Counts(NamedTuple):
+    jobs: list[tuple[str, int, int]]  # id, done, running
+
+
+class Give(NamedTuple):
+    """The leader asks a part's owner to hand the part to another controller."""
+
+    part: str
+    to: str
+
+
+Frame = Hello | Beat | Picture | Yield | RecallFrame | Relay | Relayed | Counts | Give
+
+
+def _text(value: str) -> bytes:
+    raw = value.encode("utf-8")
+    return U16.pack(len(raw)) + raw
+
+
+def _blob(value: bytes) -> bytes:
+    return U32.pack(len(value)) + value
+
+
+class _Reader:
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.at = 0
+
+    def take(self, kind: struct.Struct) -> tuple:  # type: ignore[type-arg]
+        if self.at + kind.size > len(self.data):
+            raise BadFrame("cut short")
+        out = kind.unpack_from(self.data, self.at)
+        self.at += kind.size
+        return out
+
+    def raw(self, size: int) -> bytes:
+        if self.at + size > len(self.data):
+            raise BadFrame("cut short")
+        out = self.data[self.at : self.at + size]
+        self.at += size
+        return out
+
+    def text(self) -> str:
+        raw = self.raw(self.take(U16)[0])
+        try:
+            return raw.decode("utf-8")
+        except UnicodeDecodeError:
+            raise BadFrame("not UTF-8") from None
+
+    def blob(self) -> bytes:
+        return self.raw(self.take(U32)[0])
+
+    def many(self) -> int:
+        """A count; each item takes a byte at least, so it cannot exceed what is left."""
+        count: int = self.take(U32)[0]
+        if count > len(self.data) - self.at:
+            raise BadFrame("count beyond the frame")
+        return count
+
+    def end(self) -> None:
+        if self.at != len(self.data):
+            raise BadFrame("bytes left over")
+
+
+def pack(frame: Frame) -> bytes:
+    kind, body = _body(frame)
+    if len(body) > MOST:
+        raise BadFrame("too long")
+    return HEAD.pack(MAGIC, VERSION, kind, len(body)) + body
+
+
+def _body(frame: Frame) -> tuple[FrameKind, bytes]:
+    match frame:
+        case Hello(label):
+            return FrameKind.HELLO, _text(label)
+        case Beat():
+            return FrameKind.BEAT, BEAT.pack(*frame)
+        case Picture():
+            return FrameKind.PICTURE, _pack_picture(frame)
+        case Yield(part, machine, to):
+            return FrameKind.YIELD, _text(part) + _text(machine) + _text(to)
+        case RecallFrame(part, machines):
+            return FrameKind.RECALL, _text(part) + U32.pack(machines)
+        case Relay(number, body):
+            return FrameKind.RELAY, U32.pack(number) + _blob(body)
+        case Relayed(number, status, body):
+            return FrameKind.RELAYED, U32.pack(number) + U16.pack(status) + _blob(body)
+        case Counts(jobs):
+            rows = b"".join(_text(job) + U32.pack(done) + U32.pack(running) for job, done, running in jobs)
+            return FrameKind.COUNTS, U32.pack(len(jobs)) + rows
+        case Give(part, to):
+            return FrameKind.GIVE, _text(part) + _text(to)
+    raise BadFrame(f"no such frame: {frame!r}")
+
+
+def _pack_picture(picture: Picture) -> bytes:
+    out = [_text(picture.team), U64.pack(picture.seen), U32.pack(picture.machines), U32.pack(picture.waiting)]
+    out += [U32.pack(picture.spare_beyond), U32.pack(len(picture.wants))]
+    for want in picture.wants:
+        out.append(
+            WANT.pack(
+                want.cpus, want.gpus, want.memory, want.tasks, want.priority, want.spot, want.together, want.slack_s,
+                want.guaranteed,
+            )
+        )  # fmt: skip
+        out += [U16.pack(len(want.types)), *map(_text, want.types), _text(want.zone)]
+    out.append(U32.pack(len(picture.idle)))
+    for name, idle_s in picture.idle:
+        out += [_text(name), F64.pack(idle_s)]
+    return b"".join(out)
+
+
+def _unpack_picture(reader: _Reader) -> Picture:
+    team = reader.text()
+    seen = reader.take(U64)[0]
+    machines, waiting, beyond = (reader.take(U32)[0] for _ in range(3))
+    wants = []
+    for _ in range(reader.many()):
+        cpus, gpus, memory, tasks, priority, spot, together, slack, promised = reader.take(WANT)
+        types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
+        wants.append(Want(cpus, gpus, memory, types, reader.text(), spot, together, tasks, priority, bool(promised), slack))
+    idle = [(reader.text(), float(reader.take(F64)[0])) for _ in range(reader.many())]
+    return Picture(team, seen, wants, idle, machines, waiting, beyond)
+
+
+def head(data: bytes) -> tuple[int, int]:
+    """Kind and length from a frame's head."""
+    magic, version, kind, length = HEAD.unpack(data)
+    if magic != MAGIC:
+        raise BadFrame("not a frame of ours")
+    if version != VERSION:
+        raise BadFrame(f"version {version}, expected {VERSION}")
+    if length > MOST:
+        raise BadFrame("too long")
+    return kind, length
+
+
+def unpack(kind: int, body: bytes) -> Frame:
+    reader = _Reader(body)
+    frame: Frame
+    if kind == FrameKind.HELLO:
+        frame = Hello(reader.text())
+    elif kind == FrameKind.BEAT:
+        frame = Beat(*reader.take(BEAT))
+    elif kind == FrameKind.PICTURE:
+        frame = _unpack_picture(reader)
+    elif kind == FrameKind.YIELD:
+        frame = Yield(reader.text(), reader.text(), reader.text())
+    elif kind == FrameKind.RECALL:
+        frame = RecallFrame(reader.text(), reader.take(U32)[0])
+    elif kind == FrameKind.RELAY:
+        frame = Relay(reader.take(U32)[0], reader.blob())
+    elif kind == FrameKind.RELAYED:
+        frame = Relayed(reader.take(U32)[0], reader.take(U16)[0], reader.blob())
+    elif kind == FrameKind.COUNTS:
+        rows = [(reader.text(), reader.take(U32)[0], reader.take(U32)[0]) for _ in range(reader.many())]
+        frame = Counts(rows)
+    elif kind == FrameKind.GIVE:
+        frame = Give(reader.text(), reader.text())
+    else:
+        raise BadFrame(f"kind {kind}")
+    reader.end()
+    return frame
