--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -51,6 +51,7 @@
         self.catalog: dict[str, MachineType] = {}
         self.owners: dict[str, Owner] = {}
         self.leader: Leader | None = None
+        self.charters = 0  # counted over all our reigns, since names are never reused
         self.hold: int | None = None
         self.hold_until = 0.0
         self.incarnation = self.rng.getrandbits(48)
@@ -143,12 +144,13 @@
         started = time.monotonic()
         try:
             if self.hold is None:
-                self.hold = await self.state.hold(int(self.ttl_s * 1000))
+                hold = await self.state.hold(int(self.ttl_s * 1000))
                 path = f"member/{self.label}"
                 value = {"incarnation": self.incarnation}
                 entry = await self.state.get(path)
-                stamp = await self.state.txn({path: entry.stamp if entry else 0}, {path: value}, hold=self.hold)
+                stamp = await self.state.txn({path: entry.stamp if entry else 0}, {path: value}, hold=hold)
                 self.members.wrote(path, value, stamp)
+                self.hold = hold  # only now: a hold without our name on it would make us no member
             else:
                 await self.state.renew(self.hold, timeout=self.ttl_s / 2)
             self.hold_until = started + self.ttl_s
@@ -180,6 +182,10 @@
             self.leader = Leader(self, stamp)
         elif self.leader and entry.stamp != self.leader.stamp:
             self._unseat()
+        elif self.leader is None and entry.value.get("incarnation") == self.incarnation:
+            # An outage of the state service made us stand down, but every lease outlasts one: the seat is still ours.
+            log.info("this controller leads again, stamp %d", entry.stamp)
+            self.leader = Leader(self, entry.stamp)
 
     def _unseat(self) -> None:
         if self.leader:
@@ -310,7 +316,7 @@
         if owner is None:
             return
         if isinstance(frame, Yield):
-            owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()) and None)
+            owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()))
         else:
             owner.note(lambda part: part.recall(frame.machines, self.now()))
 
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -32,7 +32,7 @@
     type: str
     zone: str
     spot: bool
-    count: int
+    number: int
 
 
 class Move(NamedTuple):
@@ -75,7 +75,7 @@
         self.renting_now.remove(rent)
         for name in names:
             self.coming[name] = (rent.team, now)
-        if len(names) < rent.count:
+        if len(names) < rent.number:
             self._refuse(rent, now)
         else:
             self.refused.pop((rent.type, rent.zone, rent.spot), None)
@@ -95,6 +95,9 @@
 
     def decide(self, machines: Iterable[Lent], pictures: dict[str, Picture], now: float) -> list[Decision]:
         lent = {machine.name: machine for machine in machines if not machine.doomed}
+        if any(team.name not in pictures for team in self.shared.teams):
+            # An owner unheard of may want all that stands empty: neither lend, rent nor return before it is heard.
+            return []
         self._forget_settled(lent, pictures, now)
         pool = {name: m for name, m in lent.items() if m.part == "" and name not in self.coming}
         for name in list(self.pool_since):
@@ -116,7 +119,7 @@
         on_the_way = self._virtual(lent)
         rents: dict[tuple[str, str, str, bool], int] = {}
         unmet: dict[str, int] = {}
-        total = len(lent) + sum(rent.count for rent in self.renting_now)
+        total = len(lent) + sum(rent.number for rent in self.renting_now)
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             left = self._lend(team, want, left, pool, idle, out, now)
@@ -160,7 +163,7 @@
                 out.setdefault(team, []).append(room)
         for rent in self.renting_now:
             shape = self.catalog[rent.type]
-            for _ in range(rent.count):
+            for _ in range(rent.number):
                 room = [shape, rent.zone, rent.spot, shape.cpus, shape.accelerators, shape.ram_gb]
                 out.setdefault(rent.team, []).append(room)
         return out
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -96,7 +96,7 @@
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
         self.wants: list[Want] = []
         self.seen = stamp
-        self.urgent: set[str] = set()  # machines with orders worth sending at once
+        self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
         self.finished: list[tuple[Job, float]] = []
 
     # -- taking over --------------------------------------------------------------------------
@@ -228,7 +228,7 @@
             self._release(placement, now)
             return
         placement.stop(why, leeway, now)
-        self.urgent.add(placement.machine)
+        self.urgent[placement.machine] = None
 
     def _lost(self, placement: Placement, why: str, now: float) -> None:
         """Its stop is confirmed though nobody asked for it; costs it neither count nor clock."""
@@ -297,12 +297,12 @@
         self.parks.add(job.id, ranges_of(tasks), at, step.failure)
         what = "the gang" if job.spec.kind == "gang" else f"task {tasks[0]}"
         if step.step == "past":
-            job.set_reason(f"{what} failed {step.failure.count} times, last: {failure.why}; still tried now and then")
+            job.set_reason(f"{what} failed {step.failure.times} times, last: {failure.why}; still tried now and then")
             log.info("job %s gave up its bounded retries: %s", job.id, job.reason)
         else:
             if job.reason is None:
                 job.set_reason(f"{what} failed: {failure.why}; parked and tried again")
-            log.info("job %s %s parked for %.1f s after %d failures", job.id, what, step.delay, step.failure.count)
+            log.info("job %s %s parked for %.1f s after %d failures", job.id, what, step.delay, step.failure.times)
 
     # -- reports --------------------------------------------------------------------------------
 
@@ -370,7 +370,7 @@
                     self._done_elsewhere(job, key[1], now)
             else:
                 strange[key[0], key[1]] = key[2]
-        for job_id, _ in set(machine.strange) | set(strange):
+        for job_id in sorted({job for job, _ in [*machine.strange, *strange]}):
             here = any(job_id == other for other, _ in strange)
             where = self.strange.setdefault(job_id, set())
             (where.add if here else where.discard)(machine.name)
@@ -430,7 +430,7 @@
         for (job_id, task), attempt in machine.strange.items():
             out.append(Order(verb=KILL, share=task_name(job_id, task), attempt=attempt, leeway_s=0.0))
         if checkin:
-            for job_id, task, attempt in machine.ended:
+            for job_id, task, attempt in sorted(machine.ended):
                 if (job_id, task, attempt) not in machine.outstanding and self._forgettable(job_id, task, attempt):
                     out.append(Order(verb=FORGET, share=task_name(job_id, task), attempt=attempt))
         return out[:ORDERS_AT_ONCE]
@@ -503,7 +503,7 @@
             placement.recalled = True
             job = self.jobs[placement.job]
             # What cannot save in time had better go on: it may finish first.
-            if job.active and job.spec.checkpoint_s > 0 and job.spec.save_s < notice or placement.status != "running":
+            if (job.active and job.spec.checkpoint_s > 0 and job.spec.save_s < notice) or placement.status != "running":
                 self.preempt(job, [placement.task], "machine taken back", now)
 
     def cancel(self, job_id: str, at: float, stamp: int, now: float) -> None:
@@ -622,7 +622,7 @@
         """Place what fits; the number of tasks that want room and found none."""
         spec = job.spec
         permitted = min(self.usage.room(spec), job.ready)
-        if spec.kind == "gang" and permitted < spec.tasks or permitted <= 0:
+        if (spec.kind == "gang" and permitted < spec.tasks) or permitted <= 0:
             return 0
         picked = placing.select(job, self.machines.values(), permitted, now)
         if picked:
@@ -674,7 +674,7 @@
 
     def _net_wants(self, short: list[tuple[Job, int]], now: float) -> list[Want]:
         """What is lacking once the machines still booting are counted in."""
-        coming = [
+        coming: list[list[Any]] = [
             [m, m.shape.cpus, m.shape.accelerators, m.shape.ram_gb]
             for m in self.machines.values()
             if m.phase is MachinePhase.EXPECTED
@@ -745,16 +745,12 @@
         waiting = sum(job.ready for job in self.jobs.values() if job.active)
         return Picture(self.name, self.seen, self.wants, idle, len(self.machines), waiting, beyond)
 
-    def yield_machine(self, name: str, to: str, now: float) -> bool:
-        """The leader wants it elsewhere. It goes once empty, by a write under our fence."""
+    def yield_machine(self, name: str, to: str, now: float) -> None:
+        """The leader wants it elsewhere. It goes if empty, by a write under our fence."""
         machine = self.machines.get(name)
-        if machine is None or not machine.usable or to == self.name:
-            return False
-        if not machine.empty:
-            return False
-        machine.to = to
-        machine.leave("moves")
-        return True
+        if machine is not None and machine.usable and machine.empty and to != self.name:
+            machine.to = to
+            machine.leave("moves")
 
     def recall(self, machines: int, now: float) -> None:
         """Vacate so many machines for a team that lacks its guarantee: the cheapest to stop first."""
@@ -858,7 +854,7 @@
             if placement.phase is Phase.INTENDED and placement.gen <= gen and job.chunk_of(placement.task) is chunk:
                 if placement.phase is Phase.INTENDED:
                     placement.committed()
-                    self.urgent.add(placement.machine)
+                    self.urgent[placement.machine] = None
 
     def _reason_durable(self, job: Job, gen: int, revision: int) -> None:
         job.reason_durable = gen
--- a/ashdock/core/task.py
+++ b/ashdock/core/task.py
@@ -28,7 +28,7 @@
 class Failure(NamedTuple):
     """A task's own failures in the running episode."""
 
-    count: int
+    times: int
     first: float
     why: str
     past: int = 0  # 1 once the episode's bounds are behind it
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -71,14 +71,14 @@
             return error(503, "the machine types are not known yet", 1)
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
-        why = self.never(spec)
-        if why:
+        never = self.never(spec)
+        if never:
             # A job that was accepted is never refused afterwards, whatever its later copies say.
             try:
                 entry = await self._read(spec.id)
             except Unavailable:
                 return error(503, "the state service does not answer", self._retry_after())
-            return Answer(200, self._state(spec.id, entry)) if entry else error(422, why)
+            return Answer(200, self._state(spec.id, entry)) if entry else error(422, never)
         now = controller.now()
         record = job_record(spec, round(now, 3))
         path = f"job/{spec.id}"
@@ -183,6 +183,7 @@
         future = self.reads.get(job_id)
         if future is None:
             future = asyncio.ensure_future(self._read_now(job_id))
+            future.add_done_callback(lambda done: done.cancelled() or done.exception())  # its readers may have given up
             self.reads[job_id] = future
         return await asyncio.shield(future)
 
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -29,7 +29,6 @@
         self.strays: dict[str, Report] = {}  # reported and not recorded
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
-        self.number = 0
         self.over = False
         self.jobs: set[asyncio.Task[None]] = set()
         self.tasks = [asyncio.create_task(self._guard(loop)) for loop in (self._finish_charters, self._choose, self._clean, self._look)]
@@ -117,11 +116,11 @@
 
     async def _rent(self, rent: Rent) -> None:
         controller = self.controller
-        self.number += 1
-        # Unique for good: no other reign has this stamp, and within this one the number only grows.
-        name = f"{controller.label}.{self.stamp}.{self.number}"
+        controller.charters += 1
+        # Unique for good: no other process has led with this stamp, and in ours the number only grows.
+        name = f"{controller.label}.{self.stamp}.{controller.charters}"
         path = f"charter/{name}"
-        value = {"team": rent.team, "t": rent.type, "z": rent.zone, "s": rent.spot, "n": rent.count}
+        value = {"team": rent.team, "t": rent.type, "z": rent.zone, "s": rent.spot, "n": rent.number}
         self.renting_names.add(name)
         try:
             stamp = await controller.state.txn({path: 0, "leader": self.stamp}, {path: value})
@@ -179,7 +178,7 @@
 
     async def _finish_charters(self) -> float | None:
         """What an earlier leader set out to rent: the same request again tells what came of it."""
-        entries, _ = await self.controller.state.list("charter/")
+        entries, _ = await self.controller.state.under("charter/")
         for entry in entries:
             name = entry.path.split("/", 1)[1]
             if name not in self.renting_names:
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -4,24 +4,20 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 
 
 class Budget:
     """A bucket that holds `burst_s` seconds' worth. What users notice may empty it; the rest leaves a reserve."""
 
-    def __init__(
-        self, per_s: float, burst_s: float = 1.0, reserve: float = 0.3, clock: Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, per_s: float, burst_s: float = 1.0, reserve: float = 0.3) -> None:
         self.per_s = per_s
         self.most = max(1.0, per_s * burst_s)
         self.reserve = reserve
-        self.clock = clock
         self.left = self.most
-        self.at = clock()
+        self.at = time.monotonic()
 
     def _refill(self) -> None:
-        now = self.clock()
+        now = time.monotonic()
         self.left = min(self.most, self.left + (now - self.at) * self.per_s)
         self.at = now
 
--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -101,7 +101,7 @@
             if not data and connection.their_state in (h11.IDLE, h11.DONE):
                 raise EOFError
             connection.receive_data(data)
-            since, busy = self.open.get(writer, (time.monotonic(), False))
+            _, busy = self.open.get(writer, (time.monotonic(), False))
             if not busy:
                 self.open[writer] = (time.monotonic(), True)
 
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -147,7 +147,7 @@
         entry = self._decode(_entry, answer)
         return Entry(path, entry.value, entry.stamp)
 
-    async def list(self, under: str, urgent: bool = True) -> tuple[list[Entry], int]:
+    async def under(self, under: str, urgent: bool = True) -> tuple[list[Entry], int]:
         """All keys with the prefix, and a revision that the whole list takes in or precedes."""
         out: list[Entry] = []
         after = ""
@@ -273,10 +273,10 @@
 
     async def _read(self) -> None:
         if not self.keep:
-            _, self.ledger = await self.state.list("leader")
+            _, self.ledger = await self.state.under("leader")
             self.ready.set()
             return
-        entries, ledger = await self.state.list(self.under)
+        entries, ledger = await self.state.under(self.under)
         found = {entry.path for entry in entries}
         for path in [path for path in self.entries if path not in found]:
             self._apply(path, None, ledger)
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -132,7 +132,7 @@
         assert part
         # Read after the claim: no earlier owner can write from here on, so this is all there is.
         (machines, seen), (work, _), (parks, _) = await asyncio.gather(
-            state.list("machine/"), state.list(f"work/{name}/"), state.list(f"park/{name}/")
+            state.under("machine/"), state.under(f"work/{name}/"), state.under(f"park/{name}/")
         )
         mine = [(entry.path.split("/", 1)[1], entry.value, entry.stamp) for entry in machines if entry.value["p"] == name]
         part.load(mine, list(work), list(parks), self.controller.now())
@@ -195,7 +195,7 @@
     # -- orders sent directly --------------------------------------------------------------------------
 
     def _send_urgent(self, part: Part) -> None:
-        urgent, part.urgent = part.urgent, set()
+        urgent, part.urgent = part.urgent, {}
         if self.phase is not OwnerPhase.ACTIVE or not self.controller.may_renew():
             return
         for name in urgent:
@@ -203,7 +203,7 @@
             if machine is None:
                 continue
             if machine.sending:
-                part.urgent.add(name)
+                part.urgent[name] = None
                 continue
             orders = part.direct(machine, self.controller.now())
             if orders:
--- /dev/null
+++ b/tests/rules.py
@@ -0,0 +1,102 @@
+"""The protocol's rules, checked on what the stand-ins see happen."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass
+class On:
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    attempt: int
+
+
+@dataclass
+class Rules:
+    cancel_s: float
+    limits: dict[str, float]  # team: GPUs at most
+    jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # as submitted
+    on: dict[tuple[str, int], list[On]] = field(default_factory=dict)
+    done: set[tuple[str, int]] = field(default_factory=set)
+    accepted: set[str] = field(default_factory=set)
+    told: dict[str, str] = field(default_factory=dict)  # final states that users were told
+    asked_to_cancel: set[str] = field(default_factory=set)
+    cancelled_at: dict[str, float] = field(default_factory=dict)
+    starts: int = 0
+    broken: list[tuple[str, str]] = field(default_factory=list)
+
+    def _break(self, rule: str, what: str) -> None:
+        self.broken.append((rule, what))
+
+    def submitted(self, run: dict[str, Any]) -> None:
+        self.jobs[run["id"]] = run
+
+    def started(self, job: str, task: int, place: On, now: float) -> None:
+        """A task holds its image and is on a machine from here."""
+        self.starts += 1
+        run = self.jobs.get(job)
+        if run is None:
+            return
+        if self.on.get((job, task)):
+            self._break("ran_twice", f"{job}/{task} on {place.machine} and {self.on[job, task][0].machine}")
+        others = [p for (j, _), places in self.on.items() if j == job for p in places]
+        if run.get("hulls") is not None and place.type not in run["hulls"]:
+            self._break("wrong_place", f"{job}/{task}: type {place.type}")
+        if run.get("yard") is not None and place.zone != run["yard"]:
+            self._break("wrong_place", f"{job}/{task}: zone {place.zone}")
+        if place.spot and not run["loaners"]:
+            self._break("wrong_place", f"{job}/{task}: spot")
+        if run["same_place"] and any(other.zone != place.zone for other in others):
+            self._break("wrong_place", f"{job}/{task}: not with the others")
+        here = sum(1 for other in others if other.zone == place.zone) + 1
+        if run["spread"] and here > (run["shares"] + 1) // 2:
+            self._break("wrong_place", f"{job}/{task}: too many in {place.zone}")
+        self.on.setdefault((job, task), []).append(place)
+        used = sum(
+            self.jobs[j]["accelerators"] * len(places)
+            for (j, _), places in self.on.items() if j in self.jobs and self.jobs[j]["owner"] == run["owner"]
+        )  # fmt: skip
+        if used > self.limits[run["owner"]] + 1e-6:
+            self._break("quota", f"{run['owner']} uses {used}")
+        if job in self.cancelled_at and now > self.cancelled_at[job] + self.cancel_s:
+            self._break("ran_cancelled", f"{job}/{task} starts")
+
+    def left(self, job: str, task: int, machine: str, done: bool = False) -> None:
+        places = self.on.get((job, task), [])
+        self.on[job, task] = [place for place in places if place.machine != machine]
+        if done:
+            self.done.add((job, task))
+
+    def tick(self, now: float) -> None:
+        for job, at in self.cancelled_at.items():
+            if now > at + self.cancel_s and any(places for (j, _), places in self.on.items() if j == job):
+                self._break("ran_cancelled", f"{job} still runs")
+
+    def answered(self, job: str, status: int, state: str | None, submission: bool = False, now: float = 0.0) -> None:
+        if status in (200, 201):
+            if job not in self.jobs:
+                self._break("invented", job)
+                return
+            if submission:
+                self.accepted.add(job)
+            if job in self.told and state != self.told[job]:
+                self._break("went_back", f"{job}: {self.told[job]} then {state}")
+            if state == "withdrawn" and job not in self.asked_to_cancel:
+                self._break("went_back", f"{job}: nobody cancelled it")
+            if state == "done":
+                if any((job, task) not in self.done for task in range(self.jobs[job]["shares"])):
+                    self._break("not_done", job)
+                self.told[job] = state
+            if state == "withdrawn":
+                self.told[job] = state
+                self.cancelled_at.setdefault(job, now)
+        elif job in self.accepted and (status == 404 or (submission and status in (400, 422))):
+            self._break("forgotten", f"{job}: {status}")
+
+    def end(self) -> None:
+        if not self.starts:
+            self._break("nothing_ran", "")
--- /dev/null
+++ b/tests/simtime.py
@@ -0,0 +1,217 @@
+"""Simulated time and an in-memory network: whole controllers run on them unchanged, the same each run."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+WALL = 1_700_000_000.0
+
+
+class _NoSelect(selectors.DefaultSelector):
+    """Instead of waiting, time jumps."""
+
+    loop: SimLoop
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("nothing is left to happen")
+        if timeout > 0:
+            self.loop.clock += timeout
+        return []
+
+
+class SimLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        selector = _NoSelect()
+        selector.loop = self
+        self.clock = 0.0
+        super().__init__(selector)
+        self._clock_resolution = 1e-6
+
+    def time(self) -> float:
+        return self.clock
+
+    def _process_events(self, event_list: list[Any]) -> None:
+        pass
+
+
+class _Transport:
+    def __init__(self, end: End) -> None:
+        self.end = end
+
+    def abort(self) -> None:
+        self.end.reset()
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+class End:
+    """One end of a connection: what StreamWriter offers, delivered to the other end's reader."""
+
+    def __init__(self, net: Net, here: str, there: str) -> None:
+        self.net = net
+        self.here = here
+        self.there = there
+        self.reader = asyncio.StreamReader()
+        self.other: End | None = None
+        self.closed = False
+        self.transport = _Transport(self)
+        self.last = 0.0
+
+    def write(self, data: bytes) -> None:
+        if not self.closed and data:
+            self._deliver(lambda other: other.reader.feed_data(bytes(data)))
+
+    def _deliver(self, act: Callable[[End], None]) -> None:
+        loop = asyncio.get_running_loop()
+        other = self.other
+        assert other
+        # In order, and held back while the network between the two is cut.
+        at = max(self.last, loop.time() + self.net.delay(self.here, self.there))
+        self.last = at
+
+        def arrive() -> None:
+            if self.net.is_cut(self.here, self.there):
+                loop.call_later(0.2, arrive)
+                self.last = max(self.last, loop.time() + 0.2)
+                return
+            if not other.reader.at_eof() and not getattr(other.reader, "_eof", False):
+                act(other)
+
+        loop.call_at(at, arrive)
+
+    async def drain(self) -> None:
+        await asyncio.sleep(0)
+        if self.closed:
+            raise ConnectionResetError
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._deliver(lambda other: other.reader.feed_eof())
+
+    def reset(self) -> None:
+        if not self.closed:
+            self.close()
+            if not getattr(self.reader, "_eof", False):
+                self.reader.feed_eof()
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+
+class _SimServer:
+    def __init__(self, net: Net, where: str) -> None:
+        self.net = net
+        self.where = where
+
+    def close(self) -> None:
+        self.net.servers.pop(self.where, None)
+
+
+class Net:
+    """Hosts are the IP parts of addresses; the host that runs now is told by a task's name."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.servers: dict[str, tuple[str, Callable[..., Awaitable[None]]]] = {}
+        self.ends: dict[str, list[End]] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.tasks: dict[str, dict[asyncio.Task[Any], None]] = {}  # in order, so that each run is alike
+
+    def delay(self, a: str, b: str) -> float:
+        return 0.001 + self.rng.random() * 0.002
+
+    def is_cut(self, a: str, b: str) -> bool:
+        return frozenset((a, b)) in self.cuts
+
+    def cut(self, a: str, *others: str) -> None:
+        self.cuts |= {frozenset((a, b)) for b in others}
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    async def open_connection(self, host: str, port: int) -> tuple[asyncio.StreamReader, Any]:
+        here = HOST.get(asyncio.current_task(), "?")
+        where = f"{host}:{port}"
+        while self.is_cut(here, host):  # silence, as behind a cut: the caller's patience ends it
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(self.delay(here, host))
+        if where not in self.servers:
+            raise ConnectionRefusedError
+        _, serve = self.servers[where]
+        near, far = End(self, here, host), End(self, host, here)
+        near.other, far.other = far, near
+        self.ends.setdefault(here, []).append(near)
+        self.ends.setdefault(host, []).append(far)
+        spawn(self, host, serve(far.reader, far))
+        return near.reader, near
+
+    async def start_server(self, serve: Callable[..., Awaitable[None]], host: str, port: int, **_: Any) -> _SimServer:
+        where = f"{host}:{port}"
+        self.servers[where] = (host, serve)
+        return _SimServer(self, where)
+
+    def remember(self, host: str, task: asyncio.Task[Any]) -> None:
+        self.tasks.setdefault(host, {})[task] = None
+        task.add_done_callback(lambda done: (self.tasks.get(host, {}).pop(done, None), HOST.pop(done, None)))
+
+    def kill(self, host: str) -> None:
+        """End a process without warning: its connections are reset, nothing of it goes on."""
+        for where in [where for where, (name, _) in self.servers.items() if name == host]:
+            del self.servers[where]
+        for task in list(self.tasks.pop(host, ())):
+            task.cancel()
+        for end in self.ends.pop(host, []):
+            end.reset()
+
+
+HOST: dict[Any, str] = {}
+
+
+def spawn(net: Net, host: str, job: Any) -> asyncio.Task[Any]:
+    task = asyncio.get_running_loop().create_task(job)
+    HOST[task] = host
+    net.remember(host, task)
+    return task
+
+
+def run(main: Callable[[Net], Awaitable[Any]], seed: int, monkeypatch: Any) -> Any:
+    loop = SimLoop()
+    net = Net(seed)
+
+    def factory(loop_: Any, job: Any, **more: Any) -> asyncio.Task[Any]:
+        parent = None
+        try:
+            parent = asyncio.current_task(loop_)
+        except RuntimeError:
+            pass
+        task: asyncio.Task[Any] = asyncio.Task(job, loop=loop_, **more)
+        host = HOST.get(parent)
+        if host is not None:
+            HOST[task] = host
+            net.remember(host, task)
+        return task
+
+    loop.set_task_factory(factory)
+    monkeypatch.setattr(asyncio, "open_connection", net.open_connection)
+    monkeypatch.setattr(asyncio, "start_server", net.start_server)
+    monkeypatch.setattr(time, "monotonic", lambda: loop.clock)
+    monkeypatch.setattr(time, "time", lambda: loop.clock + WALL)
+    HOST.clear()
+    try:
+        return loop.run_until_complete(main(net))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,423 @@
+"""Stand-ins for the state service, the cloud and the workers, as far as the protocol describes them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from ashdock.net.http import Answer, Client, NoAnswer, Request, Server
+from tests.rules import On, Rules
+from tests.simtime import Net, spawn
+
+STATE, CLOUD = "10.2.0.1", "10.2.0.2"
+
+
+def reply(status: int, body: Any) -> Answer:
+    return Answer(status, json.dumps(body).encode())
+
+
+class State:
+    def __init__(self, net: Net) -> None:
+        self.net = net
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.ledger = 0
+        self.changes: list[dict[str, Any]] = []
+        self.holds: dict[int, tuple[float, float]] = {}  # ends at, ttl
+        self.permits = 0
+        self.down = False
+        self.lose_answers = 0.0  # share of transactions whose answer never comes
+        self.apply_late = 0.0  # share of transactions applied only seconds later, unanswered
+        self.rng = random.Random(net.rng.random())
+        self.wake = asyncio.Condition()
+        self.hook: Any = None  # called with each transaction's writes before they are applied
+
+    async def start(self) -> None:
+        await Server(self.handle, 1000, 600.0, 600.0).start(STATE, 2379)
+        asyncio.create_task(self._expire())
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            if self.down:
+                self.holds = {hold: (now + ttl, ttl) for hold, (_, ttl) in self.holds.items()}
+                continue
+            for hold in [hold for hold, (ends, _) in self.holds.items() if ends < now]:
+                del self.holds[hold]
+                gone = [path for path, (_, _, permit) in self.keys.items() if permit == hold]
+                if gone:
+                    await self._apply([{"delete": path} for path in gone])
+
+    async def _apply(self, writes: list[dict[str, Any]]) -> int:
+        self.ledger += 1
+        for write in writes:
+            if "set" in write:
+                self.keys[write["set"]] = (write["value"], self.ledger, write.get("permit"))
+                self.changes.append({"set": write["set"], "value": write["value"], "stamp": self.ledger})
+            elif self.keys.pop(write["delete"], None):
+                self.changes.append({"delete": write["delete"], "stamp": self.ledger})
+        async with self.wake:
+            self.wake.notify_all()
+        return self.ledger
+
+    async def handle(self, request: Request) -> Answer:
+        path, _, query = request.target.partition("?")
+        words = {key: value[0] for key, value in parse_qs(query).items()}
+        if path == "/changes":
+            return await self._watch(words)
+        if self.down:
+            return reply(503, {"error": "trouble"})
+        await asyncio.sleep(0.003)
+        if path == "/txn":
+            return await self._txn(json.loads(request.body))
+        if path.startswith("/holds"):
+            return self._hold(request, path)
+        if path == "/store":
+            found = sorted(key for key in self.keys if key.startswith(words["under"]) and key > words.get("from", ""))
+            most = int(words.get("most", 1000))
+            entries = [{"path": key, "value": self.keys[key][0], "stamp": self.keys[key][1]} for key in found[:most]]
+            return reply(200, {"entries": entries, "truncated": len(found) > most, "ledger": self.ledger})
+        key = unquote(path.removeprefix("/store/"))
+        if key not in self.keys:
+            return reply(404, {"ledger": self.ledger})
+        value, stamp, permit = self.keys[key]
+        return reply(200, {"path": key, "value": value, "stamp": stamp, "permit": permit})
+
+    async def _txn(self, body: dict[str, Any]) -> Answer:
+        writes = body.get("writes", [])
+        if self.rng.random() < self.apply_late:
+            asyncio.create_task(self._late(body))
+            await asyncio.sleep(60)
+        answer = await self._decide(body)
+        if writes and self.rng.random() < self.lose_answers:
+            await asyncio.sleep(60)
+        return answer
+
+    async def _late(self, body: dict[str, Any]) -> None:
+        await asyncio.sleep(2 + 4 * self.rng.random())
+        await self._decide(body)
+
+    async def _decide(self, body: dict[str, Any]) -> Answer:
+        writes = body.get("writes", [])
+        if any("permit" in write and write["permit"] not in self.holds for write in writes):
+            return reply(400, {"error": "no such lease"})
+        failed = [c["path"] for c in body.get("when", []) if self.keys.get(c["path"], (0, 0, 0))[1] != c["stamp"]]
+        if failed:
+            return reply(409, {"failed": failed, "ledger": self.ledger})
+        if self.hook:
+            self.hook(writes)
+        return reply(200, {"ledger": await self._apply(writes) if writes else self.ledger})
+
+    def _hold(self, request: Request, path: str) -> Answer:
+        now = asyncio.get_running_loop().time()
+        if path == "/holds":
+            ttl = json.loads(request.body)["ttl_ms"] / 1000
+            self.permits += 1
+            hold = self.permits
+            self.holds[hold] = (now + ttl, ttl)
+            return reply(200, {"permit": hold})
+        hold = int(path.split("/")[2])
+        if hold not in self.holds:
+            return reply(404, {})
+        ttl = self.holds[hold][1]
+        self.holds[hold] = (now + ttl, ttl)
+        return reply(200, {"permit": hold})
+
+    async def _watch(self, words: dict[str, str]) -> Answer:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(words.get("hold_ms", 0)) / 1000
+        after = int(words["from"])
+        while True:
+            news = [c for c in self.changes if c["stamp"] > after and (c.get("set") or c["delete"]).startswith(words["under"])]
+            if (news and not self.down) or loop.time() >= until:
+                return reply(200, {"ledger": self.ledger, "news": news})
+            try:
+                async with asyncio.timeout(min(until - loop.time(), 0.5)):
+                    async with self.wake:
+                        await self.wake.wait()
+            except TimeoutError:
+                pass
+
+
+class Worker:
+    """One machine's worker. Faults: `hang`, `error_share`; and whatever the network does."""
+
+    def __init__(self, world: World, name: str, kind: str, zone: str, spot: bool, number: int) -> None:
+        self.world = world
+        self.name = name
+        self.kind = kind
+        self.zone = zone
+        self.spot = spot
+        self.host = f"10.1.{number // 200}.{number % 200 + 1}"
+        self.address = f"{self.host}:9000"
+        self.tenure = 1
+        self.tally = 0
+        self.token = 0
+        self.shares: dict[tuple[str, int], dict[str, Any]] = {}  # by (share, try)
+        self.renewed = 0.0
+        self.error_share = 0.0
+        self.recall_at: float | None = None
+        self.dead = False
+        self.change = asyncio.Event()
+        self.images: set[str] = set()
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        self.renewed = self.now()
+        await Server(self.handle, 50, 600.0, 600.0).start(self.host, 9000)
+        spawn(self.world.net, self.host, self._lease())
+        nodes = list(self.world.nodes)
+        at = self.world.rng.randrange(len(nodes))
+        while not self.dead:
+            node = nodes[at % len(nodes)]
+            pause = await self._report(node)
+            if isinstance(pause, str):
+                at = nodes.index(pause)
+                await asyncio.sleep(0.2)
+                continue
+            if pause:
+                at += 1
+                await asyncio.sleep(pause)
+                continue
+            self.change.clear()
+            await asyncio.sleep(0.5)
+            try:
+                async with asyncio.timeout(self.world.report_s - 0.5):
+                    await self.change.wait()
+            except TimeoutError:
+                pass
+
+    async def _lease(self) -> None:
+        while not self.dead:
+            await asyncio.sleep(0.1)
+            if self.now() - self.renewed > self.world.lease_s:
+                for share, attempt in list(self.shares):
+                    self._gone(share, attempt)
+                self.shares.clear()
+                self.tenure += 1
+                self.renewed = self.now()
+                self.change.set()
+
+    def message(self) -> dict[str, Any]:
+        self.tally += 1
+        out = []
+        for (share, attempt), task in self.shares.items():
+            out.append({"share": share, "try": attempt, "status": task["status"], **task.get("more", {})})
+        recall = None if self.recall_at is None else max(0.0, self.recall_at - self.now())
+        return {"berth": self.name, "address": self.address, "hull": self.kind, "yard": self.zone, "loaners": self.spot,
+                "tenure": self.tenure, "tally": self.tally, "warrant": self.token, "recall_s": recall, "shares": out}  # fmt: skip
+
+    async def _report(self, node: str) -> float | str:
+        """0 to stay, a pause before the next node, or the node to go to."""
+        sent, tenure = self.now(), self.tenure
+        client = Client(self.world.nodes[node], 8080, keep=0)
+        try:
+            status, body = await client.request("POST", "/checkin", json.dumps(self.message()).encode(), 4.0)
+        except NoAnswer:
+            return 1.0
+        if status == 421:
+            harbour = json.loads(body).get("harbour")
+            return harbour if harbour in self.world.nodes and harbour != node else 1.0
+        if status != 200:
+            return 1.0
+        answer = json.loads(body)
+        if answer["warrant"] >= self.token and tenure == self.tenure and not self.dead:
+            self.token = answer["warrant"]
+            self.renewed = sent
+            self._obey(answer["orders"])
+        return 0.0
+
+    async def handle(self, request: Request) -> Answer:
+        if request.target == "/inspect":
+            return reply(200, self.message())
+        body = json.loads(request.body)
+        if "warrant" not in body or "tenure" not in body:
+            return reply(400, {})
+        if body["warrant"] < self.token or body["tenure"] != self.tenure:
+            return reply(409, self.message())
+        self.token = body["warrant"]
+        self._obey(body["orders"])
+        return reply(200, self.message())
+
+    def _obey(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["share"], order["try"])
+            task = self.shares.get(key)
+            if order["verb"] == "run" and task is None:
+                self._start(*key)
+            elif order["verb"] == "kill" and task and task["status"] != "ended":
+                self._exit(*key, "stopped", kept=order["leeway_s"] > 0)
+            elif order["verb"] == "forget" and task and task["status"] == "ended":
+                del self.shares[key]
+
+    def _start(self, share: str, attempt: int) -> None:
+        job = share.rsplit("/", 1)[0]
+        run = self.world.rules.jobs.get(job)
+        task = self.shares[share, attempt] = {"status": "pulling"}
+        self.change.set()
+        if run is None:
+            task.update(status="ended", more={"cause": "no_such"})
+            return
+        busy = [key for key, other in self.shares.items() if other["status"] != "ended" and key != (share, attempt)]
+        if any(key[0] == share for key in busy):
+            task.update(status="ended", more={"cause": "in_use"})
+            return
+        used = sum(self.world.rules.jobs[key[0].rsplit("/", 1)[0]]["accelerators"] for key in busy)
+        if used + run["accelerators"] > 4:
+            task.update(status="ended", more={"cause": "no_room"})
+            return
+        spawn(self.world.net, self.host, self._work(share, attempt, run, task))
+
+    async def _work(self, share: str, attempt: int, run: dict[str, Any], task: dict[str, Any]) -> None:
+        job, number = share.rsplit("/", 1)
+        if run["bundle"] not in self.images:
+            await asyncio.sleep(run["size_gb"] / 2)
+        if task["status"] != "pulling":
+            return
+        self.images.add(run["bundle"])
+        self.world.rules.started(job, int(number), On(self.name, self.kind, self.zone, self.spot, attempt), self.now())
+        gang = run["shape"] == "ensemble"
+        task["status"] = "waiting" if gang else "running"
+        self.change.set()
+        if gang:
+            if not await self.world.meet(job, attempt, run["shares"], task):
+                if task["status"] != "ended":
+                    self._exit(share, attempt, "incomplete")
+                return
+            task["status"] = "running"
+            self.world.gangs.setdefault((job, attempt), []).append((self, share))
+            self.change.set()
+        work = run["expect_s"] if run["shape"] != "daemon" else 1e9
+        left = work - self.world.saved.get(share, 0.0)
+        failing = run.get("fails", 0) or self.error_share > self.world.rng.random()
+        while left > 0:
+            step = min(left, 0.5)
+            await asyncio.sleep(step)
+            left -= step
+            if task["status"] == "ended":
+                if run["snapshot_s"] and task.get("more", {}).get("kept"):
+                    self.world.saved[share] = work - left
+                return
+            if failing:
+                run["fails"] = max(0, run.get("fails", 0) - 1)
+                self._exit(share, attempt, "error")
+                return
+            if gang and self.world.broken_gang(job, attempt):
+                self._exit(share, attempt, "mates_gone")
+                return
+        for mate, its in self.world.gangs.get((job, attempt), []) if gang else [(self, share)]:
+            if (its, attempt) in mate.shares and mate.shares[its, attempt]["status"] == "running":
+                mate._exit(its, attempt, "done")
+
+    def _exit(self, share: str, attempt: int, cause: str, kept: bool = False) -> None:
+        task = self.shares[share, attempt]
+        task.update(status="ended", more={"cause": cause, "kept": kept})
+        self._gone(share, attempt, cause == "done")
+        self.change.set()
+
+    def _gone(self, share: str, attempt: int, done: bool = False) -> None:
+        job, number = share.rsplit("/", 1)
+        task = self.shares.get((share, attempt))
+        if task is not None and task["status"] != "ended":
+            task.update(status="ended", more={"cause": "stopped"})
+        self.world.rules.left(job, int(number), self.name, done)
+        if not done:
+            self.world.lost_mates.add((job, attempt))
+
+    def die(self) -> None:
+        self.dead = True
+        for share, attempt in list(self.shares):
+            self._gone(share, attempt)
+        self.world.net.kill(self.host)
+
+
+class World:
+    """The cloud, its machines, and the nodes' addresses."""
+
+    def __init__(self, net: Net, rules: Rules, nodes: dict[str, str], zones: list[str], capacity: int, lease_s: float, report_s: float) -> None:
+        self.net = net
+        self.rules = rules
+        self.nodes = nodes
+        self.zones = zones
+        self.capacity = capacity
+        self.lease_s = lease_s
+        self.report_s = report_s
+        self.rng = random.Random(net.rng.random())
+        self.workers: dict[str, Worker] = {}
+        self.charters: dict[str, list[str]] = {}
+        self.saved: dict[str, float] = {}
+        self.lost_mates: set[tuple[str, int]] = set()
+        self.waiting: dict[tuple[str, int], int] = {}
+        self.gangs: dict[tuple[str, int], list[tuple[Worker, str]]] = {}  # they complete jointly
+        self.number = 0
+        self.down = False
+        self.born: dict[str, float] = {}
+
+    async def start(self) -> None:
+        await Server(self.handle, 1000, 600.0, 600.0).start(CLOUD, 8443)
+
+    def boot(self, zone: str, spot: bool, after: float) -> str:
+        name = f"vm-{self.number:06d}"
+        worker = Worker(self, name, "g4", zone, spot, self.number)
+        self.number += 1
+        self.workers[name] = worker
+        self.born[name] = asyncio.get_running_loop().time()
+
+        async def up() -> None:
+            await asyncio.sleep(after)
+            if not worker.dead:
+                await worker.run()
+
+        spawn(self.net, worker.host, up())
+        return name
+
+    def broken_gang(self, job: str, attempt: int) -> bool:
+        return (job, attempt) in self.lost_mates
+
+    async def meet(self, job: str, attempt: int, size: int, task: dict[str, Any]) -> bool:
+        key = (job, attempt)
+        self.waiting[key] = self.waiting.get(key, 0) + 1
+        for _ in range(300):
+            if self.waiting[key] >= size:
+                return True
+            if task["status"] == "ended":
+                break
+            await asyncio.sleep(0.1)
+        self.waiting[key] -= 1
+        return False
+
+    async def handle(self, request: Request) -> Answer:
+        path = request.target.partition("?")[0]
+        if self.down:
+            return reply(503, {"error": "trouble"})
+        if path == "/catalog":
+            shape = {"label": "g4", "cpus": 32, "accelerators": 4, "ram_gb": 192, "cache_gb": 80, "fetch_gb_per_s": 2.0,
+                     "price": 10.0, "low_price": 2.5, "boot_s": 6.0, "yards": self.zones}  # fmt: skip
+            return reply(200, {"hulls": [shape]})
+        if path == "/hosts" and request.method == "POST":
+            body = json.loads(request.body)
+            if body["charter"] not in self.charters:
+                free = self.capacity - len(self.workers)
+                if free <= 0 or body["loaners"]:
+                    return reply(503, {"error": "no capacity"})
+                names = [self.boot(body["yard"], False, 6.0 * (0.6 + self.rng.random())) for _ in range(min(free, body["how_many"]))]
+                self.charters[body["charter"]] = names
+            return reply(200, {"berths": self.charters[body["charter"]]})
+        if path == "/hosts/release":
+            for name in json.loads(request.body)["berths"]:
+                worker = self.workers.pop(name, None)
+                if worker:
+                    worker.die()
+            return reply(200, {})
+        now = asyncio.get_running_loop().time()
+        hosts = [
+            {"id": w.name, "address": w.address, "hull": w.kind, "yard": w.zone, "loaners": w.spot, "status": "running",
+             "age_s": now - self.born[w.name]}
+            for w in self.workers.values()
+        ]  # fmt: skip
+        return reply(200, {"berths": hosts, "truncated": False})
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,275 @@
+"""Tables on the core: chunks, parks, quota, placement, proofs of a stop, and the leader's choices."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from ashdock.core import park as parking
+from ashdock.core.allotment import Allotment, Lent, Move, Release, Rent
+from ashdock.core.job import Job, JobPhase, chunk_size
+from ashdock.core.part import Part, Picture, Want
+from ashdock.core.quota import Usage, can_ever, guaranteed
+from ashdock.core.task import Failure, Phase, ranges_of
+from ashdock.settings import Operators, Renting, Retry, Team
+from ashdock.wire.messages import Held, MachineType, Report, decode_run, encode, spec_of
+from tests.whole import job as run_of
+from tests.whole import shared
+
+G4 = MachineType("g4", 32, 4, 192, 80, 2.0, 10.0, 2.5, 6.0, ["a", "b", "c"])
+
+
+def spec(number: int = 1, **more: Any):  # type: ignore[no-untyped-def]
+    return spec_of(decode_run(encode(run_of(number, **more))))
+
+
+def part_with(jobs: list[Any], machines: str = "ab", team: str = "red", stamp: int = 10) -> Part:
+    teams = {t.name: t for t in shared().teams}
+    part = Part(teams[team], stamp, shared(), Operators(), {"g4": G4}, random.Random(1))
+    part.load([(f"vm-{n}", {"t": "g4", "z": zone, "s": False, "p": team}, 5) for n, zone in enumerate(machines)], [], [], 0.0)
+    for one in jobs:
+        part.add_job({"spec": __import__("msgspec").to_builtins(one), "at": 0.0, "status": "queued"}, 7)
+    return part
+
+
+def report(machine: str, tally: int, tasks: list[tuple[str, int, str, str | None]] = (), warrant: int = 10, tenure: int = 1) -> Report:  # type: ignore[assignment]
+    held = [Held(share, attempt, status, cause) for share, attempt, status, cause in tasks]
+    return Report(machine, "10.1.0.1:9000", "g4", "a", tenure, tally, warrant, shares=held)
+
+
+def commit(part: Part, revision: int) -> dict[str, Any]:
+    txn = part.next_txn()
+    assert txn is not None and txn.when[f"part/{part.name}"] == part.stamp
+    for mark in txn.marks:
+        mark(revision)
+    return txn.writes
+
+
+@pytest.mark.parametrize(
+    ("numbers", "ranges"), [([], []), ([3], [[3, 3]]), ([0, 1, 2, 5, 6, 9], [[0, 2], [5, 6], [9, 9]])]
+)
+def test_ranges(numbers: list[int], ranges: list[list[int]]) -> None:
+    assert ranges_of(numbers) == ranges
+
+
+def test_a_full_chunk_fits_a_value_and_reads_back() -> None:
+    size = chunk_size(8.0)
+    job = Job(spec(shares=size * 3), 0.0, 7, size)
+    for task in range(size, 2 * size):
+        job.place(task, f"vm-{task:06d}", 100_000 + task, 0.0)
+        job.set_failure(task, Failure(20, 1_700_000_000.123 + task, "x" * parking.WHY_BYTES))
+    value = job.chunk_value(1)
+    assert len(encode(value)) < 8.0 * 1024
+    again = Job(spec(shares=size * 3), 0.0, 7, size)
+    placed = again.load_chunk(1, value, 9, 0.0)
+    assert len(placed) == size and again.chunk_value(1) == value and all(p.phase is Phase.ORDERED for p in placed)
+
+
+STEPS = [  # failure before, seconds since the first -> step, tries, past
+    (None, 0, "in_place", 1, 0), (Failure(1, 0, ""), 5, "park", 2, 0), (Failure(5, 0, ""), 60, "park", 6, 0),
+    (Failure(30, 0, ""), 60, "park", 31, 0), (Failure(31, 0, ""), 60, "in_place", 32, 1),
+    (Failure(3, 0, ""), 901, "in_place", 4, 1), (Failure(4, 0, "", 1), 950, "past", 5, 1),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("before", "now", "step", "times", "past"), STEPS)
+def test_the_bounded_episode(before: Failure | None, now: float, step: str, times: int, past: int) -> None:
+    got = parking.after_failure(Retry(), before, "error", now, random.Random(1))
+    assert (got.step, got.failure.times, got.failure.past) == (step, times, past)
+    assert got.failure.first == (now if before is None else before.first)
+
+
+def test_a_wait_of_ten_seconds_parks_at_once() -> None:
+    assert parking.after_failure(Retry(first_delay_s=10), None, "error", 0, random.Random(1)).step == "park"
+
+
+def test_delays_double_to_the_cap_and_differ() -> None:
+    rng = random.Random(1)
+    delays = [parking.after_failure(Retry(), Failure(n, 0, ""), "e", 1, rng).delay for n in range(1, 12)]
+    for base, delay in zip([2, 4, 8, 16, 32, 60, 60, 60], delays, strict=False):
+        assert base <= delay <= base * 1.5
+    assert len(set(delays)) == len(delays)
+
+
+def test_parks_spill_and_read_back() -> None:
+    parks = parking.Parks("red", 400)
+    for n in range(20):
+        parks.add(f"req-{n:06d}", [[0, 3], [7, 9]], 100.0 + n, Failure(2, 50.0, "error on vm-1"))
+    writes = parks.writes()
+    assert len(writes) > 3 and all(len(encode(value)) <= 400 for _, value in writes)
+    again = parking.Parks("red", 400)
+    for n, value in writes:
+        assert value is not None
+        again.load(n, value, 9)
+    assert sorted(again.items) == sorted(parks.items) and again.writes() == []
+    due = again.due(109.5)
+    assert len(due) == 20 and again.next_at() == 110.0
+    assert any(value is None for _, value in again.writes())
+
+
+QUOTA = [  # limits (cpus, gpus), used, task (cpus, gpus) -> room
+    ((0, 8), (0, 0), (1.0, 1.0), 8), ((0, 8), (0, 7), (1.0, 2.0), 0), ((0, 0), (99, 99), (1.0, 1.0), 1 << 30),
+    ((4, 8), (1, 0), (1.0, 1.0), 3), ((0, 0.3), (0, 0.0), (1.0, 0.1), 3), ((0, 8), (0, 0), (5.0, 0.0), 1 << 30),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("limits", "used", "task", "room"), QUOTA)
+def test_quota(limits: Any, used: Any, task: Any, room: int) -> None:
+    usage = Usage(Team("t", cpus_max=limits[0], gpus_max=limits[1]))
+    usage.cpus, usage.gpus = used
+    one = spec(cpus=task[0], accelerators=task[1])
+    assert usage.room(one) == room
+
+
+def test_what_a_limit_forbids_for_good() -> None:
+    team = Team("t", gpus=4, gpus_max=8)
+    assert can_ever(team, spec(shares=9)) and not can_ever(team, spec(shares=9, shape="ensemble"))
+    assert not can_ever(team, spec(shares=9, shape="daemon")) and can_ever(team, spec(shares=8, shape="daemon"))
+    assert guaranteed(team, 100, 4) and not guaranteed(team, 0, 5) and not guaranteed(Team("u"), 0, 0)
+
+
+PLACES = [  # job, machines' zones -> tasks placed, zones used at most
+    ({"shares": 4}, "ab", 4, 1), ({"shares": 10}, "ab", 8, 2), ({"shares": 3, "accelerators": 4.0, "shape": "ensemble"}, "ab", 0, 0),
+    ({"shares": 2, "accelerators": 4.0, "shape": "ensemble"}, "ab", 2, 2),
+    ({"shares": 2, "accelerators": 4.0, "shape": "ensemble", "same_place": True}, "ab", 0, 0),
+    ({"shares": 2, "accelerators": 4.0, "shape": "ensemble", "same_place": True}, "abb", 2, 1),
+    ({"shares": 4, "spread": True}, "ab", 4, 2), ({"shares": 4, "spread": True}, "aa", 2, 1),
+    ({"shares": 5, "spread": True}, "aa", 3, 1), ({"shares": 3, "yard": "b"}, "aab", 3, 1), ({"shares": 3, "hulls": ["g8"]}, "ab", 0, 0),
+    ({"shares": 30}, "aaabbbccc", 24, 3),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("more", "zones", "placed", "most_zones"), PLACES)
+def test_placement(more: dict[str, Any], zones: str, placed: int, most_zones: int) -> None:
+    part = part_with([spec(**more)], zones)
+    for n in range(len(zones)):
+        part.on_report(report(f"vm-{n}", 1), 1.0, True)
+    part.schedule(1.0)
+    live = part.jobs["req-000001"].live.values()
+    assert len(live) == placed and len({part.machines[p.machine].zone for p in live}) <= most_zones
+
+
+def started(part: Part) -> None:
+    """One task of the job placed on vm-0, committed, and its start sent in the answer to report 2."""
+    part.on_report(report("vm-0", 1), 1.0, True)
+    part.schedule(1.0)
+    assert not [o for o in part.on_report(report("vm-0", 2), 1.5, True) or [] if o.verb == "run"], "sent before it was durable"
+    commit(part, 20)
+    assert [o.verb for o in part.on_report(report("vm-0", 3), 2.0, True) or []] == ["run"]
+
+
+PROOFS = [  # what comes next, the task being told to stop -> does the placement still count?
+    ("a later report under our token lacks it", [("report", 4, 10, 1)], False),
+    ("a report from before the order lacks it", [("report", 2, 10, 1)], True),
+    ("a report under an older token lacks it", [("report", 4, 9, 1)], True),
+    ("a direct answer lacks it, the order still under way", [("direct", 4, 10, 1)], True),
+    ("a later session", [("report", 1, 10, 2)], False),
+    ("silence", [("tick", 100, 0, 0)], True),
+    ("its machine is proved gone", [("gone", 0, 0, 0)], False),
+    ("an unanswered direct start, same token", [("unanswered", 0, 0, 0), ("report", 4, 10, 1)], True),
+    ("an unanswered direct start, the token raised", [("unanswered", 0, 0, 0), ("bump", 30, 0, 0), ("report", 5, 30, 1)], False),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("events", "counts"), [p[1:] for p in PROOFS], ids=[p[0] for p in PROOFS])
+def test_only_proof_ends_a_placement(events: list[tuple[str, int, int, int]], counts: bool) -> None:
+    part = part_with([spec(shares=1)], "a")
+    started(part)
+    machine = part.machines["vm-0"]
+    if events[0][0] == "unanswered":
+        orders = part.direct(machine, 2.5)
+        part.direct_unanswered(machine, orders)
+    one = part.jobs["req-000001"]
+    part.preempt(one, [0], "test", 3.0)
+    for kind, a, b, c in events:
+        if kind in ("report", "direct"):
+            part.on_report(report("vm-0", a, warrant=b, tenure=c), 4.0, kind == "report")
+        elif kind == "tick":
+            part.tick(float(a))
+        elif kind == "gone":
+            part.machine_gone("vm-0", 4.0)
+        elif kind == "bump":
+            assert "machine/vm-0" in commit(part, a)
+    assert (0 in one.live) is counts and (part.usage.gpus == 1.0) is counts
+
+
+ENDS = [  # cause reported -> the task afterwards, failures counted
+    ("done", "done", 0), ("error", "ready", 1), ("no_such", "ready", 1), ("no_room", "ready", 0), ("in_use", "ready", 0),
+    ("mates_gone", "ready", 0), ("stopped", "ready", 0), ("incomplete", "ready", 0),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("cause", "after", "failures"), ENDS)
+def test_only_its_own_failures_spend_the_count(cause: str, after: str, failures: int) -> None:
+    part = part_with([spec(shares=2)], "a")
+    part.jobs["req-000001"].states[1] = 3  # the other one is done
+    part.jobs["req-000001"].done, part.jobs["req-000001"].ready = 1, 1
+    started(part)
+    one = part.jobs["req-000001"]
+    orders = part.on_report(report("vm-0", 4, [("req-000001/0", 1, "ended", cause)]), 3.0, True)
+    assert "forget" not in [o.verb for o in orders or []], "forgotten before the outcome was durable"
+    assert 0 not in one.live and one.fails.get(0, Failure(0, 0, "")).times == failures
+    assert (one.phase is JobPhase.OVER) is (after == "done")
+    writes = commit(part, 30)
+    if after == "done":
+        assert writes["job/req-000001"]["status"] == "done" and writes["work/red/req-000001/job"] is None
+    orders = part.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", cause)]), 4.0, True)
+    assert "forget" in [o.verb for o in orders or []]
+
+
+def test_a_stale_owner_gives_no_answer() -> None:
+    part = part_with([spec()], "a")
+    assert part.on_report(report("vm-0", 1, warrant=11), 1.0, True) is None
+
+
+def test_a_new_owner_counts_what_it_inherits() -> None:
+    part = part_with([spec(shares=1)], "a")
+    started(part)
+    chunk = part.jobs["req-000001"].chunk_value(0)
+    heir = part_with([], "a", stamp=50)
+    record = {"spec": __import__("msgspec").to_builtins(spec(shares=1)), "at": 0.0, "status": "queued"}
+    heir.load([], [("work/red/req-000001/job", record, 7), ("work/red/req-000001/0", chunk, 20)], [], 5.0)
+    assert heir.usage.gpus == 1.0 and 0 in heir.jobs["req-000001"].live
+    heir.preempt(heir.jobs["req-000001"], [0], "test", 5.0)
+    heir.on_report(report("vm-0", 9, warrant=10), 5.0, True)  # lacks it, but under the old token: its start may be under way
+    assert 0 in heir.jobs["req-000001"].live
+    heir.on_report(report("vm-0", 10, warrant=50), 6.0, True)
+    assert 0 not in heir.jobs["req-000001"].live
+
+
+def test_capacity_shortage_spends_nothing() -> None:
+    part = part_with([spec(shares=2)], "")
+    for now in range(1, 2000, 100):
+        part.tick(float(now))
+        part.schedule(float(now))
+    assert part.jobs["req-000001"].fails == {} and part.parks.items == [] and part.wants[0].tasks == 2
+
+
+def want(**more: Any) -> Want:
+    return Want(**{"cpus": 1.0, "gpus": 1.0, "memory": 1.0, "types": (), "zone": "", "spot": True, "together": False, "tasks": 4,
+                   "priority": 1, "guaranteed": True, "slack_s": 5.0} | more)  # fmt: skip
+
+
+def lent(name: str, part: str, zone: str = "a", spot: bool = False) -> Lent:
+    return Lent(name, part, "g4", zone, spot, 5, "")
+
+
+LEADER = [  # machines, red's wants, blue's empty machines -> kinds of decision
+    ([], [want()], [], [Rent]), ([lent("m1", "")], [want()], [], [Move]), ([lent("m1", "blue")], [want()], [("m1", 1.0)], [Move]),
+    ([lent("m1", "blue", "b")], [want(zone="a")], [("m1", 1.0)], [Rent]), ([lent("m1", "blue")], [], [("m1", 99.0)], [Move]),
+    ([lent("m1", "", spot=True)], [want(spot=False)], [], [Rent]), ([], [], [], []), ([lent("m1", "")], [], [], [Release]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("machines", "wants", "idle", "kinds"), LEADER)
+def test_the_leader_chooses(machines: list[Lent], wants: list[Want], idle: list[tuple[str, float]], kinds: list[type]) -> None:
+    allotment = Allotment(shared(), Renting(), {"g4": G4})
+    pictures = {"red": Picture("red", 9, wants, [], 0, 0, 0), "blue": Picture("blue", 9, [], idle, 1, 0, 0)}
+    decisions = allotment.decide(machines, pictures, 0.0)
+    if kinds == [Release]:
+        assert decisions == []  # not before it has stood in the pool for a while
+        decisions = allotment.decide(machines, pictures, 60.0)
+    assert [type(decision) for decision in decisions] == kinds
+    assert allotment.decide([], {"red": pictures["red"]}, 100.0) == [], "nothing is decided while an owner is unheard of"
