Recall machines by zone and image straight to the team lacking its guarantee; keep idle ones for gangs

Cause: a gang of three waited minutes, since recalled machines went to the pool, came from any zone, and were lent away again before the last was there. Ruled out: shortage of machines (retail stays within its guarantee).

--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ashdock.core.part import Picture
+from ashdock.core.part import Picture, Recalled
 from ashdock.front import Front
 from ashdock.leader import Leader
 from ashdock.net.cloud import CloudClient, CloudTrouble
@@ -20,7 +20,7 @@
 from ashdock.net.worker import WorkerClient
 from ashdock.owner import Owner, OwnerPhase
 from ashdock.settings import Settings, Team, address
-from ashdock.wire.frames import Beat, Counts, Frame, RecallFrame, Relay, Relayed, Yield
+from ashdock.wire.frames import Beat, Counts, Frame, Relay, Relayed, Yield
 from ashdock.wire.messages import MachineType
 
 log = logging.getLogger("ashdock.controller")
@@ -303,7 +303,7 @@
                 out[team] = owner.part.picture(self.now())
         return out
 
-    def to_owner(self, team: str, frame: Yield | RecallFrame) -> None:
+    def to_owner(self, team: str, frame: Yield | Recalled) -> None:
         if team in self.owners:
             self._for_part(frame)
         else:
@@ -311,20 +311,20 @@
             if label:
                 self.mesh.send(label, frame)
 
-    def _for_part(self, frame: Yield | RecallFrame) -> None:
+    def _for_part(self, frame: Yield | Recalled) -> None:
         owner = self.owners.get(frame.part)
         if owner is None:
             return
         if isinstance(frame, Yield):
             owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()))
         else:
-            owner.note(lambda part: part.recall(frame.machines, self.now()))
+            owner.note(lambda part: part.recall(frame, self.now()))
 
     def _on_frame(self, label: str, frame: Frame) -> None:
         match frame:
             case Picture():
                 self.remote_pictures[frame.team] = (time.monotonic(), frame)
-            case Yield() | RecallFrame():
+            case Yield() | Recalled():
                 self._for_part(frame)
             case Counts(jobs):
                 self.remote_counts[label] = {job: (done, running) for job, done, running in jobs}
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from ashdock.core.machine import capacity
-from ashdock.core.part import Picture, Want
+from ashdock.core.part import Picture, Recalled, Want
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
 
@@ -43,16 +43,11 @@
     to: str
 
 
-class Recall(NamedTuple):
-    team: str
-    machines: int
-
-
 class Release(NamedTuple):
     machines: list[str]
 
 
-Decision = Rent | Move | Recall | Release
+Decision = Rent | Move | Recalled | Release
 
 
 class Allotment:
@@ -63,7 +58,8 @@
         self.refused: dict[tuple[str, str, bool], tuple[float, float]] = {}  # until when, and the last pause
         self.coming: dict[str, tuple[str, float]] = {}  # machine: team it was lent to, and when
         self.renting_now: list[Rent] = []
-        self.recalled_at: dict[str, float] = {}
+        self.recalling: list[tuple[str, str, float]] = []  # team, zone and when: asked of another part, not there yet
+        self.parts: dict[str, str] = {}  # machine: the part that had it when we last looked
         self.pool_since: dict[str, float] = {}
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
@@ -118,17 +114,20 @@
         )
         on_the_way = self._virtual(lent)
         rents: dict[tuple[str, str, str, bool], int] = {}
-        unmet: dict[str, int] = {}
+        spare = {picture.team: picture.spare_beyond for picture in pictures.values()}
+        for picture in pictures.values():
+            spare[picture.team] -= sum(1 for _, idle_s in picture.idle)
         total = len(lent) + sum(rent.number for rent in self.renting_now)
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
+            if want.together and not want.zone and left > 0:
+                want = want._replace(zone=self._best_zone(team, want, lent, pool, idle, now))
             left = self._lend(team, want, left, pool, idle, out, now)
+            left = self._recall(team, want, left, lent, spare, out, now)
             while left > 0:
                 offer = self._offer(want, left, rents, now)
                 most = self.renting.most_machines
                 if offer is None or (most and total >= most):
-                    if want.guaranteed:
-                        unmet[team] = unmet.get(team, 0) + self._machines_for(want, left)
                     break
                 shape, zone, spot = offer
                 per = max(1, capacity(shape, want.cpus, want.gpus, want.memory))
@@ -140,15 +139,23 @@
                     on_the_way.setdefault(team, []).append([shape, zone, spot, *self._rest(shape, want, per + left)])
         out += [Rent(team, kind, zone, spot, min(count, 50)) for (team, kind, zone, spot), count in rents.items()]
         self.renting_now += [decision for decision in out if isinstance(decision, Rent)]
-        out += self._recalls(unmet, pictures, now)
         out += self._returns(pool, idle, wants, now)
         return out
 
     def _forget_settled(self, lent: dict[str, Lent], pictures: dict[str, Picture], now: float) -> None:
+        patience = self.shared.workers.gang_peer_s + 4 * self.shared.workers.report_s
+        self.recalling = [item for item in self.recalling if now - item[2] < patience]
+        for name, machine in lent.items():
+            if machine.part and self.parts.get(name, machine.part) != machine.part:
+                arrived = next((item for item in self.recalling if item[:2] == (machine.part, machine.zone)), None)
+                if arrived:
+                    self.recalling.remove(arrived)
+                    self.coming[name] = (machine.part, now)
+        self.parts = {name: machine.part for name, machine in lent.items()}
         for name, (team, since) in list(self.coming.items()):
-            machine = lent.get(name)
+            record = lent.get(name)
             picture = pictures.get(team)
-            seen = machine and picture and machine.part == team and picture.seen >= machine.stamp
+            seen = record and picture and record.part == team and picture.seen >= record.stamp
             if seen or now - since > self.settle_s:
                 del self.coming[name]
 
@@ -161,6 +168,9 @@
                 shape = self.catalog[machine.type]
                 room = [shape, machine.zone, machine.spot, shape.cpus, shape.accelerators, shape.ram_gb]
                 out.setdefault(team, []).append(room)
+        for team, zone, _ in self.recalling:
+            shape = max(self.catalog.values(), key=lambda shape: shape.accelerators)
+            out.setdefault(team, []).append([shape, zone, False, shape.cpus, shape.accelerators, shape.ram_gb])
         for rent in self.renting_now:
             shape = self.catalog[rent.type]
             for _ in range(rent.number):
@@ -192,9 +202,49 @@
             return False
         return want.spot or not spot
 
-    def _machines_for(self, want: Want, tasks: int) -> int:
-        fits = [capacity(s, want.cpus, want.gpus, want.memory) for s in self.catalog.values()]
-        return -(-tasks // max(1, max(fits, default=1)))
+    def _best_zone(
+        self, team: str, want: Want, lent: dict[str, Lent], pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
+        now: float,
+    ) -> str:  # fmt: skip
+        """Where a gang that must stay together is soonest complete: what stands empty there, then what can be recalled."""
+        empty = {*pool, *(name for name, (machine, _) in idle.items() if machine.part != team)}
+        score: dict[str, float] = {}
+        for machine in lent.values():
+            if machine.type not in self.catalog or not self._suits(want, machine.type, machine.zone, machine.spot):
+                continue
+            if machine.name in empty:
+                score[machine.zone] = score.get(machine.zone, 0.0) + 1.0
+            elif want.guaranteed and machine.part not in ("", team):
+                score[machine.zone] = score.get(machine.zone, 0.0) + 0.5
+        for shape in self.catalog.values():
+            for zone in shape.yards:
+                kinds = (True, False) if want.spot else (False,)
+                if any(self.refused.get((shape.label, zone, spot), (0.0, 0.0))[0] <= now for spot in kinds):
+                    score[zone] = score.get(zone, 0.0) + 0.5
+        return max(sorted(score), key=lambda zone: score[zone], default="")
+
+    def _recall(
+        self, team: str, want: Want, left: int, lent: dict[str, Lent], spare: dict[str, int], out: list[Decision], now: float
+    ) -> int:
+        """A guarantee is regained from teams beyond theirs: sooner than a machine boots."""
+        if not want.guaranteed:
+            return left
+        for other in sorted(spare, key=lambda name: -spare[name]):
+            if other == team or left <= 0 or spare[other] <= 0:
+                continue
+            theirs = [
+                m for m in lent.values()
+                if m.part == other and m.type in self.catalog and self._suits(want, m.type, m.zone, m.spot)
+            ]  # fmt: skip
+            if not theirs:
+                continue
+            per = max(1, capacity(self.catalog[theirs[0].type], want.cpus, want.gpus, want.memory))
+            take = min(-(-left // per), spare[other], len(theirs))
+            out.append(Recalled(other, team, take, want.zone, want.spot, want.types, want.image))
+            self.recalling += [(team, theirs[n].zone if not want.zone else want.zone, now) for n in range(take)]
+            spare[other] -= take
+            left -= take * per
+        return left
 
     def _lend(
         self, team: str, want: Want, left: int, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
@@ -244,19 +294,6 @@
                         best = key, (shape, zone, spot)
         return best[1] if best else None
 
-    def _recalls(self, unmet: dict[str, int], pictures: dict[str, Picture], now: float) -> list[Decision]:
-        out: list[Decision] = []
-        for team, count in unmet.items():
-            if now - self.recalled_at.get(team, -1e9) < self.shared.workers.lease_s:
-                continue
-            for other in sorted(pictures.values(), key=lambda picture: -picture.spare_beyond):
-                take = min(count, other.spare_beyond)
-                if other.team != team and take > 0:
-                    out.append(Recall(other.team, take))
-                    self.recalled_at[team] = now
-                    count -= take
-        return out
-
     def _returns(
         self, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]], wants: list[tuple[str, Want]], now: float
     ) -> list[Decision]:
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -40,7 +40,7 @@
         self.checkin_tally = 0
         self.warrant = 0
         self.idle_since: float | None = now
-        self.images: dict[str, float] = {}  # seen here, and when last
+        self.images: dict[str, float] = dict.fromkeys(value.get("i", ()), 0.0)  # seen here, and when last
         self.ended: set[tuple[str, int, int]] = set()  # reported as ended and not yet forgotten
         self.strange: dict[tuple[str, int], int] = {}  # running here without a placement: attempt
         self.reported = 0  # tasks in the last report
@@ -57,6 +57,8 @@
     def value(self, part: str) -> dict[str, Any]:
         value: dict[str, Any] = {"t": self.type, "z": self.zone, "s": self.spot, "a": self.address, "p": part}
         value["at"] = round(self.rented, 3)
+        # The next part's owner is told which images it need not wait for.
+        value["i"] = sorted(self.images, key=lambda image: -self.images[image])[:12]
         if self.phase is MachinePhase.DOOMED:
             value["x"] = self.why
         return value
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -60,6 +60,19 @@
     priority: int
     guaranteed: bool
     slack_s: float  # until it had better run
+    image: str = ""
+
+
+class Recalled(NamedTuple):
+    """Machines that a part is to vacate for another team, and what they have to suit."""
+
+    part: str
+    to: str
+    machines: int
+    zone: str
+    spot: bool
+    types: tuple[str, ...]
+    image: str
 
 
 class Picture(NamedTuple):
@@ -95,6 +108,7 @@
         self.strange: dict[str, set[str]] = {}  # job: machines where it runs without a placement
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
         self.wants: list[Want] = []
+        self.reserved: set[str] = set()  # empty machines kept for a gang that lacks others
         self.seen = stamp
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
         self.finished: list[tuple[Job, float]] = []
@@ -609,13 +623,18 @@
         return (-job.spec.priority, late, slack if job.spec.deadline_s is not None else job.submitted)
 
     def schedule(self, now: float) -> None:
-        short: list[tuple[Job, int]] = []
+        short: list[tuple[Job, int, str]] = []
+        self.reserved = set()
         for job in self.waiting(now):
             missing = self._try_place(job, now)
+            zone = ""
+            if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
+                zone, kept = self._keep_for_gang(job)
+                missing -= kept
             if missing:
-                short.append((job, missing))
-        for job, missing in short:
-            self._make_room(job, missing, now)
+                short.append((job, missing, zone))
+        for job, missing, zone in short:
+            self._make_room(job, missing, zone, now)
         self.wants = self._net_wants(short, now)
 
     def _try_place(self, job: Job, now: float) -> int:
@@ -624,7 +643,8 @@
         permitted = min(self.usage.room(spec), job.ready)
         if (spec.kind == "gang" and permitted < spec.tasks) or permitted <= 0:
             return 0
-        picked = placing.select(job, self.machines.values(), permitted, now)
+        free = [machine for machine in self.machines.values() if machine.name not in self.reserved]
+        picked = placing.select(job, free, permitted, now)
         if picked:
             tasks = job.ready_tasks(len(picked))
             attempt = job.attempt_for(0)
@@ -633,7 +653,7 @@
             log.info("job %s: %d tasks placed on %s", job.id, len(picked), ",".join(sorted({m.name for m in picked})))
         return permitted - len(picked)
 
-    def _make_room(self, job: Job, missing: int, now: float) -> None:
+    def _make_room(self, job: Job, missing: int, zone: str, now: float) -> None:
         """Stop work of lower priority of this team for it, once per lease at most for any one job."""
         if now - job.preempted_at < self.workers.lease_s:
             return
@@ -642,6 +662,8 @@
         for machine in self.machines.values():
             if not machine.usable or not placing.permits(spec, machine.type, machine.zone, machine.spot):
                 continue
+            if machine.name in self.reserved or (spec.one_zone and zone and machine.zone != zone):
+                continue
             lower = [p for p in machine.live.values() if self.jobs[p.job].spec.priority < spec.priority]
             if not lower or any(p.phase is Phase.STOPPING for p in machine.live.values()):
                 continue
@@ -652,8 +674,10 @@
                 continue
             loss = sum(self._loss(p, now) for p in lower) + placing.fetch_s(spec, machine)
             victims.append((loss, machine, {p.job for p in lower}))
-        if spec.one_zone and spec.tasks > 1:
-            return  # whole zones are not cleared for one gang: its own machines are rented
+        if spec.one_zone and spec.tasks > 1 and not zone:
+            by_zone = [victim[1].zone for victim in victims]
+            best = max(sorted(set(by_zone)), key=by_zone.count, default="")
+            victims = [victim for victim in victims if victim[1].zone == best]
         victims.sort(key=lambda victim: (victim[0], victim[1].name))
         for _, machine, _ in victims[:missing]:
             job.preempted_at = now
@@ -672,7 +696,34 @@
         lost = spec.save_s if spec.checkpoint_s > 0 else ran
         return lost * (spec.gpus or spec.cpus) * (spec.tasks if spec.kind == "gang" else 1)
 
-    def _net_wants(self, short: list[tuple[Job, int]], now: float) -> list[Want]:
+    def _keep_for_gang(self, job: Job) -> tuple[str, int]:
+        """The zone where a gang that finds no room is best completed ("" if any will do), and how many of
+        its tasks the machines kept for it there would take. Without this, lesser work and other teams
+        would take each machine before the last one is there."""
+        spec = job.spec
+        rooms: dict[str, list[tuple[Machine, int]]] = {}
+        boots: dict[str, int] = {}
+        for machine in self.machines.values():
+            zone = machine.zone if spec.one_zone else ""
+            if machine.name in self.reserved or not placing.permits(spec, machine.type, machine.zone, machine.spot):
+                continue
+            if machine.usable and (room := machine.fits(spec.cpus, spec.gpus, spec.memory_gb)):
+                rooms.setdefault(zone, []).append((machine, room))
+            elif machine.phase is MachinePhase.EXPECTED:
+                boots[zone] = boots.get(zone, 0) + capacity(machine.shape, spec.cpus, spec.gpus, spec.memory_gb)
+
+        def promise(zone: str) -> int:
+            return sum(room for _, room in rooms.get(zone, ())) + boots.get(zone, 0)
+
+        best = max(sorted({*rooms, *boots}), key=promise, default="")
+        kept = 0
+        for machine, room in rooms.get(best, ()):
+            if kept < spec.tasks:
+                self.reserved.add(machine.name)
+                kept += room
+        return best, min(kept, spec.tasks)
+
+    def _net_wants(self, short: list[tuple[Job, int, str]], now: float) -> list[Want]:
         """What is lacking once the machines still booting are counted in."""
         coming: list[list[Any]] = [
             [m, m.shape.cpus, m.shape.accelerators, m.shape.ram_gb]
@@ -681,10 +732,10 @@
         ]  # fmt: skip
         cpus, gpus = self.usage.cpus, self.usage.gpus
         out: list[Want] = []
-        for job, missing in short:
+        for job, missing, zone in short:
             spec = job.spec
-            zone, spare = self._gang_zone(job, coming) if spec.kind == "gang" and spec.tasks > 1 else ("", 0)
-            missing -= spare
+            cpus += spec.cpus * missing
+            gpus += spec.gpus * missing
             for slot in coming:
                 machine, free_cpus, free_gpus, free_memory = slot
                 if not placing.permits(spec, machine.type, machine.zone, machine.spot) or zone not in ("", machine.zone):
@@ -698,40 +749,21 @@
                     free_memory -= spec.memory_gb
                     missing -= 1
                 slot[1:] = [free_cpus, free_gpus, free_memory]
-            cpus += spec.cpus * (missing + spare)
-            gpus += spec.gpus * (missing + spare)
-            if missing <= 0:
-                continue
-            out.append(
-                Want(
-                    spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
-                    spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
-                    self.slack(job, now),
-                )
-            )  # fmt: skip
+            if missing > 0:
+                out.append(
+                    Want(
+                        spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
+                        spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
+                        self.slack(job, now), spec.image,
+                    )
+                )  # fmt: skip
         return out
 
-    def _gang_zone(self, job: Job, coming: list[list[Any]]) -> tuple[str, int]:
-        """Where a gang that finds no room is best completed, and how many of its tasks fit there now."""
-        spec = job.spec
-        free: dict[str, int] = {}
-        boots: dict[str, int] = {}
-        for machine in self.machines.values():
-            zone = machine.zone if spec.one_zone else ""
-            if not placing.permits(spec, machine.type, machine.zone, machine.spot):
-                continue
-            if machine.usable:
-                free[zone] = free.get(zone, 0) + machine.fits(spec.cpus, spec.gpus, spec.memory_gb)
-            elif machine.phase is MachinePhase.EXPECTED:
-                boots[zone] = boots.get(zone, 0) + self.tasks_per(spec, machine.shape)
-        best = max(sorted({*free, *boots}), key=lambda zone: free.get(zone, 0) + boots.get(zone, 0), default="")
-        return best, min(free.get(best, 0), spec.tasks)
-
     def picture(self, now: float) -> Picture:
         idle = [
             (m.name, now - m.idle_since)
             for m in self.machines.values()
-            if m.empty and m.idle_since is not None and m.phase is MachinePhase.UP and m.recall_at is None
+            if m.empty and m.idle_since is not None and m.usable and m.name not in self.reserved
         ]  # fmt: skip
         held_cpus = sum(m.shape.cpus for m in self.machines.values())
         held_gpus = sum(m.shape.accelerators for m in self.machines.values())
@@ -752,15 +784,26 @@
             machine.to = to
             machine.leave("moves")
 
-    def recall(self, machines: int, now: float) -> None:
-        """Vacate so many machines for a team that lacks its guarantee: the cheapest to stop first."""
-        leaving = sum(1 for m in self.machines.values() if m.why == "recalled by a guarantee")
-        options = sorted(
-            (sum(self._loss(p, now) for p in m.live.values()), m.name, m) for m in self.machines.values() if m.usable and m.live
-        )
-        for _, _, machine in options[: max(0, machines - leaving)]:
-            machine.leave("recalled by a guarantee")
-            machine.to = ""
+    def recall(self, order: Recalled, now: float) -> None:
+        """Vacate machines for a team that lacks its guarantee: those whose loss and image fetch cost least."""
+        why = f"recalled for {order.to}"
+        options = []
+        leaving = 0
+        for machine in self.machines.values():
+            if order.zone not in ("", machine.zone) or (machine.spot and not order.spot):
+                continue
+            if order.types and machine.type not in order.types:
+                continue
+            if machine.why == why:
+                leaving += 1
+            elif machine.usable and machine.name not in self.reserved:
+                loss = sum(self._loss(p, now) for p in machine.live.values()) / max(machine.shape.accelerators, 1)
+                away = 0.0 if order.image in machine.images else self.workers.lease_s
+                options.append((loss + away, machine.name, machine))
+        for _, _, machine in sorted(options)[: max(0, order.machines - leaving)]:
+            log.info("machine %s is vacated for team %s", machine.name, order.to)
+            machine.leave(why)
+            machine.to = order.to
             self._drain(machine, now)
 
     # -- writing --------------------------------------------------------------------------------
@@ -909,6 +952,3 @@
 
     def counts(self) -> list[tuple[str, int, int]]:
         return [(job.id, job.done, job.running) for job in self.jobs.values() if job.active]
-
-    def tasks_per(self, spec: Spec, shape: MachineType) -> int:
-        return capacity(shape, spec.cpus, spec.gpus, spec.memory_gb)
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -6,11 +6,11 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from ashdock.core.allotment import Allotment, Lent, Move, Recall, Release, Rent
-from ashdock.core.part import Picture
+from ashdock.core.allotment import Allotment, Lent, Move, Release, Rent
+from ashdock.core.part import Picture, Recalled
 from ashdock.net.cloud import CloudTrouble, NoCapacity
 from ashdock.net.state import Conflict, Entry, Unavailable
-from ashdock.wire.frames import RecallFrame, Yield
+from ashdock.wire.frames import Yield
 from ashdock.wire.messages import Report
 
 if TYPE_CHECKING:
@@ -81,9 +81,9 @@
                         controller.to_owner(part, Yield(part, machine, to))
                     else:
                         self._spawn(self._assign(machine, to))
-                case Recall(team, machines):
-                    log.info("team %s is to give back %d machines", team, machines)
-                    controller.to_owner(team, RecallFrame(team, machines))
+                case Recalled():
+                    log.info("team %s is to give %d machines back to %s", decision.part, decision.machines, decision.to)
+                    controller.to_owner(decision.part, decision)
                 case Release(machines):
                     for name in machines:
                         self._spawn(self._mark(name, "returned"))
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -10,7 +10,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from ashdock.core.part import Picture, Want
+from ashdock.core.part import Picture, Recalled, Want
 
 MAGIC = b"AD"
 VERSION = 1
@@ -22,6 +22,7 @@
 U64 = struct.Struct("!Q")
 F64 = struct.Struct("!d")
 WANT = struct.Struct("!dddIB??dB")  # cpus gpus memory tasks priority spot together slack guaranteed
+RECALL = struct.Struct("!I?")
 BEAT = struct.Struct("!Qdd??")  # incarnation, age of the state's last answer, of the last worker's; ready, leader
 
 
@@ -59,11 +60,6 @@
     to: str
 
 
-class RecallFrame(NamedTuple):
-    part: str
-    machines: int
-
-
 class Relay(NamedTuple):
     number: int
     body: bytes
@@ -86,7 +82,7 @@
     to: str
 
 
-Frame = Hello | Beat | Picture | Yield | RecallFrame | Relay | Relayed | Counts | Give
+Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give
 
 
 def _text(value: str) -> bytes:
@@ -156,8 +152,9 @@
             return FrameKind.PICTURE, _pack_picture(frame)
         case Yield(part, machine, to):
             return FrameKind.YIELD, _text(part) + _text(machine) + _text(to)
-        case RecallFrame(part, machines):
-            return FrameKind.RECALL, _text(part) + U32.pack(machines)
+        case Recalled():
+            where = _text(frame.part) + _text(frame.to) + RECALL.pack(frame.machines, frame.spot) + _text(frame.zone)
+            return FrameKind.RECALL, where + _text(frame.image) + U16.pack(len(frame.types)) + b"".join(map(_text, frame.types))
         case Relay(number, body):
             return FrameKind.RELAY, U32.pack(number) + _blob(body)
         case Relayed(number, status, body):
@@ -180,7 +177,7 @@
                 want.guaranteed,
             )
         )  # fmt: skip
-        out += [U16.pack(len(want.types)), *map(_text, want.types), _text(want.zone)]
+        out += [U16.pack(len(want.types)), *map(_text, want.types), _text(want.zone), _text(want.image)]
     out.append(U32.pack(len(picture.idle)))
     for name, idle_s in picture.idle:
         out += [_text(name), F64.pack(idle_s)]
@@ -195,7 +192,8 @@
     for _ in range(reader.many()):
         cpus, gpus, memory, tasks, priority, spot, together, slack, promised = reader.take(WANT)
         types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
-        wants.append(Want(cpus, gpus, memory, types, reader.text(), spot, together, tasks, priority, bool(promised), slack))
+        zone, image = reader.text(), reader.text()
+        wants.append(Want(cpus, gpus, memory, types, zone, spot, together, tasks, priority, bool(promised), slack, image))
     idle = [(reader.text(), float(reader.take(F64)[0])) for _ in range(reader.many())]
     return Picture(team, seen, wants, idle, machines, waiting, beyond)
 
@@ -224,7 +222,11 @@
     elif kind == FrameKind.YIELD:
         frame = Yield(reader.text(), reader.text(), reader.text())
     elif kind == FrameKind.RECALL:
-        frame = RecallFrame(reader.text(), reader.take(U32)[0])
+        part, to = reader.text(), reader.text()
+        machines, spot = reader.take(RECALL)
+        zone, image = reader.text(), reader.text()
+        types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
+        frame = Recalled(part, to, machines, zone, spot, types, image)
     elif kind == FrameKind.RELAY:
         frame = Relay(reader.take(U32)[0], reader.blob())
     elif kind == FrameKind.RELAYED:
