A controller that hears only the state service leaves its parts and the lead to others; silent machines are given up for good

Cause: with most of a part's machines silent none was ever given up (test workers_die), and a node cut from all but the state service kept its parts. Quicker recalls with the image known come with it.

--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ashdock.core.part import Picture, Recalled
+from ashdock.core.part import Part, Picture, Recalled
 from ashdock.front import Front
 from ashdock.leader import Leader
 from ashdock.net.cloud import CloudClient, CloudTrouble
@@ -59,7 +59,8 @@
         self.remote_counts: dict[str, dict[str, tuple[int, int]]] = {}
         self.relays: dict[int, asyncio.Future[Relayed]] = {}
         self.relay_number = 0
-        self.last_report = time.monotonic()
+        self.last_report = self.started = time.monotonic()
+        self.fit = True  # as our entry among the members says
         self.front = Front(self)
         limit = self.shared.machine_limits.max_connections
         # Sockets are shared with the mesh, the services and the workers we send orders to.
@@ -134,8 +135,15 @@
             for peer in self.mesh.peers.values()
         )
 
+    def cut_off(self) -> bool:
+        """Only the state service is left to us: no other controller is heard, and no worker. Others had better own our parts."""
+        quiet = max(2 * self.workers.report_s, self.ttl_s)
+        if not self.mesh.peers or any(peer.heard_within(quiet) for peer in self.mesh.peers.values()):
+            return False
+        return time.monotonic() - max(self.last_report, self.started) > quiet
+
     def ready(self) -> bool:
-        return bool(self.catalog) and self.parts.ready.is_set() and not self.alone_without_state()
+        return bool(self.catalog) and self.parts.ready.is_set() and self.fit and not self.alone_without_state()
 
     # -- membership and leadership -----------------------------------------------------------------------------
 
@@ -151,8 +159,11 @@
                 stamp = await self.state.txn({path: entry.stamp if entry else 0}, {path: value}, hold=hold)
                 self.members.wrote(path, value, stamp)
                 self.hold = hold  # only now: a hold without our name on it would make us no member
+                self.fit = True
             else:
                 await self.state.renew(self.hold, timeout=self.ttl_s / 2)
+                if self.fit is self.cut_off():
+                    await self._say_fit(not self.fit)
             self.hold_until = started + self.ttl_s
             await self._lead()
         except HoldLost:
@@ -166,8 +177,28 @@
             return pause / 2
         return pause
 
+    async def _say_fit(self, fit: bool) -> None:
+        path = f"member/{self.label}"
+        entry = self.members.entries.get(path)
+        if entry is None:
+            return
+        log.info("this controller %s", "hears the others again" if fit else "hears nobody but the state service: parts and lead are for others")
+        value = {"incarnation": self.incarnation, "fit": fit}
+        stamp = await self.state.txn({path: entry.stamp}, {path: value}, hold=self.hold)
+        self.members.wrote(path, value, stamp)
+        self.fit = fit
+        seat = self.leaders.entries.get("leader")
+        if not fit and self.leader and seat and self.fit_members():
+            await self.state.txn({"leader": self.leader.stamp}, {"leader": None})
+            self._unseat()
+
+    def fit_members(self) -> list[str]:
+        return sorted(path.split("/", 1)[1] for path, entry in self.members.entries.items() if entry.value.get("fit", True))
+
     async def _lead(self) -> None:
         entry = self.leaders.entries.get("leader")
+        if not self.fit and self.fit_members():
+            return
         if not self.leaders.ready.is_set() or not self.catalog:
             return
         if entry is None:
@@ -223,7 +254,7 @@
             return self.tick_s / 4
         if self.hold is None or time.monotonic() > self.hold_until:
             return self.tick_s
-        alive = {path.split("/", 1)[1] for path in self.members.entries} | {self.label}
+        alive = {*self.fit_members(), *([self.label] if self.fit else [])} or {self.label}
         load = dict.fromkeys(sorted(alive), 0)
         orphans: list[Team] = []
         for team in self.shared.teams:
@@ -246,7 +277,7 @@
                     ours.lost(f"claimed by {entry.value['owner']}")
                 continue
             # A part that names us is ours from before a restart: taken back at once.
-            if (entry and entry.value["owner"] == self.label) or heirs.get(team.name) == self.label:
+            if (entry and entry.value["owner"] == self.label and self.fit) or heirs.get(team.name) == self.label:
                 if self.state_fresh():
                     self.owners[team.name] = Owner(self, team, entry.stamp if entry else 0)
         return self.tick_s
@@ -273,7 +304,7 @@
         elif value["status"] == "withdrawn":
             owner.note(lambda part: part.cancel(job_id, value.get("cancelled_at", self.now()), stamp, self.now()))
 
-    def _job_news(self, part: Any, job_id: str, value: Any, stamp: int) -> None:
+    def _job_news(self, part: Part, job_id: str, value: Any, stamp: int) -> None:
         if job_id not in part.jobs and not self.front.is_final(job_id):
             part.add_job(value if isinstance(value["spec"], dict) else msgspec.to_builtins(value), stamp)
 
@@ -295,6 +326,14 @@
         self.worker_client.sweep()
         return self.mesh.beat_s
 
+    def tell_leader(self, part: Part) -> None:
+        """At once when a part comes to lack something; what it no longer lacks can wait for the next beat."""
+        if part.wants and not part.wanted_before:
+            leader = self.leader_label()
+            if leader and leader != self.label:
+                self.mesh.send(leader, part.picture(self.now()))
+        part.wanted_before = bool(part.wants)
+
     def pictures(self) -> dict[str, Picture]:
         now = time.monotonic()
         out = {team: picture for team, (at, picture) in self.remote_pictures.items() if now - at < self.ttl_s}
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -25,6 +25,7 @@
     spot: bool
     stamp: int
     doomed: str
+    images: frozenset[str] = frozenset()
 
 
 class Rent(NamedTuple):
@@ -122,6 +123,9 @@
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             if want.together and not want.zone and left > 0:
                 want = want._replace(zone=self._best_zone(team, want, lent, pool, idle, now))
+            # Calling back a machine that has the image is sooner than fetching it on one that stands empty.
+            left = self._lend(team, want, left, pool, idle, out, now, cached=True)
+            left = self._recall(team, want, left, lent, spare, out, now, cached=True)
             left = self._lend(team, want, left, pool, idle, out, now)
             left = self._recall(team, want, left, lent, spare, out, now)
             while left > 0:
@@ -224,8 +228,9 @@
         return max(sorted(score), key=lambda zone: score[zone], default="")
 
     def _recall(
-        self, team: str, want: Want, left: int, lent: dict[str, Lent], spare: dict[str, int], out: list[Decision], now: float
-    ) -> int:
+        self, team: str, want: Want, left: int, lent: dict[str, Lent], spare: dict[str, int], out: list[Decision], now: float,
+        cached: bool = False,
+    ) -> int:  # fmt: skip
         """A guarantee is regained from teams beyond theirs: sooner than a machine boots."""
         if not want.guaranteed:
             return left
@@ -235,6 +240,7 @@
             theirs = [
                 m for m in lent.values()
                 if m.part == other and m.type in self.catalog and self._suits(want, m.type, m.zone, m.spot)
+                and (not cached or want.image in m.images)
             ]  # fmt: skip
             if not theirs:
                 continue
@@ -248,9 +254,9 @@
 
     def _lend(
         self, team: str, want: Want, left: int, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
-        out: list[Decision], now: float,
+        out: list[Decision], now: float, cached: bool = False,
     ) -> int:  # fmt: skip
-        """Machines that stand empty come first: they need no boot."""
+        """Machines that stand empty need no boot."""
         options = [(0.0, machine) for machine in pool.values()]
         options += [(1.0, machine) for machine, _ in idle.values() if machine.part != team]
         # The cheap kind first, since it is the one to keep.
@@ -260,6 +266,8 @@
                 break
             if machine.type not in self.catalog or not self._suits(want, machine.type, machine.zone, machine.spot):
                 continue
+            if cached and want.image not in machine.images:
+                continue
             per = capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory)
             if per <= 0:
                 continue
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -52,6 +52,11 @@
         # only once the worker's token is above the one noted here, or its session is over.
         self.outstanding: dict[tuple[str, int, int], int] = {}
         self.bump = False  # its token must rise: a direct start was not answered
+        if value.get("n") and value.get("a") and self.phase is MachinePhase.EXPECTED:
+            # Lent to us while up. If that is no longer so, its silence shows it.
+            self.phase = MachinePhase.UP
+            self.tenure = value["n"]
+            self.last_at = now
         self.to: str | None = None  # asked to go to this part ("" the pool) once empty
 
     def value(self, part: str) -> dict[str, Any]:
@@ -59,6 +64,8 @@
         value["at"] = round(self.rented, 3)
         # The next part's owner is told which images it need not wait for.
         value["i"] = sorted(self.images, key=lambda image: -self.images[image])[:12]
+        if self.tenure:
+            value["n"] = self.tenure  # and can give orders before the worker has found it
         if self.phase is MachinePhase.DOOMED:
             value["x"] = self.why
         return value
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -108,6 +108,7 @@
         self.strange: dict[str, set[str]] = {}  # job: machines where it runs without a placement
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
         self.wants: list[Want] = []
+        self.wanted_before = False
         self.reserved: set[str] = set()  # empty machines kept for a gang that lacks others
         self.seen = stamp
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
@@ -443,7 +444,7 @@
                     placement.answered_with_start(checkin.tenure, checkin.tally)
         for (job_id, task), attempt in machine.strange.items():
             out.append(Order(verb=KILL, share=task_name(job_id, task), attempt=attempt, leeway_s=0.0))
-        if checkin:
+        if checkin or machine.to is not None:
             for job_id, task, attempt in sorted(machine.ended):
                 if (job_id, task, attempt) not in machine.outstanding and self._forgettable(job_id, task, attempt):
                     out.append(Order(verb=FORGET, share=task_name(job_id, task), attempt=attempt))
@@ -554,6 +555,9 @@
                     job.wake(task, park.failure)
         silent = [m for m in self.machines.values() if m.last_at is not None and m.silent_for(now) > self.silent_s]
         up = sum(1 for m in self.machines.values() if m.last_at is not None)
+        # Where most fall silent at once, the fault may be on our side: the part may yet move to a controller
+        # that hears them. But not for ever, or two dead machines of two would hold their tasks for good.
+        patience = self.silent_s if len(silent) * 2 <= up else 2 * self.silent_s
         gap = 2 * self.workers.report_s
         for machine in self.machines.values():
             if machine.phase is MachinePhase.DOOMED:
@@ -566,7 +570,7 @@
                 self._doom(machine, "taken back")
             elif machine.why == "suspect" and not machine.live:
                 self._doom(machine, "suspect")
-            elif machine in silent and len(silent) * 2 <= max(up, 2):
+            elif machine.last_at is not None and machine.silent_for(now) > patience:
                 # Silence is no proof that its tasks stopped. Releasing it makes one.
                 self._doom(machine, "silent")
         for job in self.jobs.values():
@@ -822,6 +826,8 @@
                 txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
         for machine in list(self.machines.values()):
             self._write_machine(machine, txn)
+            if machine.to is not None and machine.ended and not machine.live:
+                self.urgent[machine.name] = None  # the sooner it forgets, the sooner it can go
         while self.leftover and txn.room(1, 100):
             path, stamp = self.leftover.pop()
             txn.put(path, None, stamp)
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -62,7 +62,10 @@
 
     def _lent(self) -> list[Lent]:
         return [
-            Lent(e.path.split("/", 1)[1], e.value["p"], e.value["t"], e.value["z"], e.value["s"], e.stamp, e.value.get("x", ""))
+            Lent(
+                e.path.split("/", 1)[1], e.value["p"], e.value["t"], e.value["z"], e.value["s"], e.stamp, e.value.get("x", ""),
+                frozenset(e.value.get("i", ())),
+            )
             for e in self.controller.machines.entries.values()
         ]
 
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -148,6 +148,7 @@
             part.schedule(now)
         else:
             part.wants = []
+        self.controller.tell_leader(part)
         await self._commit(part)
         self._send_urgent(part)
 
