Least work first among deadlines that can still be met; spot work prefers spot machines

Cause: in a burst arrays were taken by slack alone, so many started just too late. Ruled out: renting (all machines were up).

--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -621,10 +621,20 @@
         return min((aim for aim in aims if aim is not None), default=self.workers.lease_s)
 
     def _rank(self, job: Job, now: float) -> tuple[float, ...]:
-        slack = self.slack(job, now)
-        # Among deadlines the ones that can still be met come first.
-        late = 1.0 if job.spec.deadline_s is not None and slack < -job.spec.estimate_s else 0.0
-        return (-job.spec.priority, late, slack if job.spec.deadline_s is not None else job.submitted)
+        """Priority; then what can still be in time, then what can be in time for the later aim, then the rest.
+        Among deadlines the least work comes first: when not all can be met, that way the most are. What is
+        long overdue comes first again, so that nothing starves."""
+        spec = job.spec
+        if spec.deadline_s is None:
+            return (-spec.priority, 0.0, job.submitted - now)
+        late = now + spec.estimate_s * (1 - self.grace) - job.submitted
+        times = sorted(o.times for o in self.shared.objectives if o.kind == "deadline" and o.job_class == spec.job_class and o.times)
+        rank = float(sum(1 for factor in times or [1.0] if late > spec.deadline_s * factor))
+        if late > spec.deadline_s * 4:
+            rank = 0.0
+        return (-spec.priority, rank, (spec.tasks - job.done) * spec.estimate_s * max(spec.gpus, 1.0))
+
+    grace = 0.25  # estimates are often wrong: a job is late for sure only with this share of its run time to spare
 
     def schedule(self, now: float) -> None:
         short: list[tuple[Job, int, str]] = []
--- a/ashdock/core/placement.py
+++ b/ashdock/core/placement.py
@@ -35,7 +35,9 @@
     """Delay until the task runs there, with packing as the tie-breaker: full machines
     are filled first, so that empty ones can be returned or take gangs."""
     free = machine.gpus / machine.shape.accelerators if machine.shape.accelerators else machine.cpus / machine.shape.cpus
-    return fetch_s(spec, machine) + free * machine.shape.boot_s / 16
+    # Work that may use the cheap kind leaves the dear one to work that may not, or to be returned.
+    dear = machine.shape.boot_s / 4 if spec.spot and not machine.spot else 0.0
+    return fetch_s(spec, machine) + free * machine.shape.boot_s / 16 + dear
 
 
 def choices(job: Job, machines: Iterable[Machine], now: float) -> list[Choice]:
