--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -62,6 +62,7 @@
         self.recalling: list[tuple[str, str, float]] = []  # team, zone and when: asked of another part, not there yet
         self.parts: dict[str, str] = {}  # machine: the part that had it when we last looked
         self.pool_since: dict[str, float] = {}
+        self.sent_back: set[str] = set()  # to the pool, since nobody wanted them
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
         self.settle_s = shared.workers.lease_s / 2
@@ -97,6 +98,7 @@
             return []
         self._forget_settled(lent, pictures, now)
         pool = {name: m for name, m in lent.items() if m.part == "" and name not in self.coming}
+        self.sent_back &= set(lent)
         for name in list(self.pool_since):
             if name not in pool:
                 del self.pool_since[name]
@@ -305,13 +307,17 @@
     def _returns(
         self, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]], wants: list[tuple[str, Want]], now: float
     ) -> list[Decision]:
-        keep_s = self.renting.idle_boots * self.boot_s
         out: list[Decision] = []
         for machine, idle_s in idle.values():
+            shape = self.catalog[machine.type]
+            # Kept as long as the next job would save by it: a boot's time, less the dearer it stands idle.
+            share = 1.5 if machine.spot else 0.5 + shape.low_price / (2 * shape.price)
+            keep_s = self.renting.idle_boots * shape.boot_s * share
             wanted = any(self._suits(want, machine.type, machine.zone, machine.spot) for _, want in wants)
             if idle_s > keep_s and not wanted:
                 out.append(Move(machine.part, machine.name, ""))
-        gone = [name for name in pool if now - self.pool_since.get(name, now) > self.settle_s]
+                self.sent_back.add(machine.name)
+        gone = [name for name in pool if now - self.pool_since.get(name, now) > (self.settle_s / 8 if name in self.sent_back else self.settle_s)]
         if gone:
             out.append(Release(gone[:100]))
         return out
