--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from ashdock.core.machine import capacity
-from ashdock.core.part import Picture, Recalled, Want
+from ashdock.core.part import Busy, Picture, Recalled, Want
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
 
@@ -56,11 +56,11 @@
         self.shared = shared
         self.renting = renting
         self.catalog = catalog
+        self.now = 0.0
         self.refused: dict[tuple[str, str, bool], tuple[float, float]] = {}  # until when, and the last pause
         self.coming: dict[str, tuple[str, float]] = {}  # machine: team it was lent to, and when
         self.renting_now: list[Rent] = []
-        self.recalling: list[tuple[str, str, float]] = []  # team, zone and when: asked of another part, not there yet
-        self.parts: dict[str, str] = {}  # machine: the part that had it when we last looked
+        self.recalling: dict[str, tuple[str, float]] = {}  # machine asked of its part: for which team, and when
         self.pool_since: dict[str, float] = {}
         self.sent_back: set[str] = set()  # to the pool, since nobody wanted them
         boots = [shape.boot_s for shape in catalog.values()]
@@ -110,6 +110,14 @@
             for name, idle_s in picture.idle
             if name in lent and lent[name].part == picture.team and name not in self.coming
         }
+        busy = {
+            item.machine: (lent[item.machine], item)
+            for picture in pictures.values()
+            for item in picture.busy
+            if item.machine in lent and lent[item.machine].part == picture.team and item.machine not in self.recalling
+            and lent[item.machine].type in self.catalog
+        }  # fmt: skip
+        self.now = now
         out: list[Decision] = []
         wants = sorted(
             ((picture.team, want) for picture in pictures.values() for want in picture.wants),
@@ -127,9 +135,9 @@
                 want = want._replace(zone=self._best_zone(team, want, lent, pool, idle, now))
             # Calling back a machine that has the image is sooner than fetching it on one that stands empty.
             left = self._lend(team, want, left, pool, idle, out, now, cached=True)
-            left = self._recall(team, want, left, lent, spare, out, now, cached=True)
+            left = self._recall(team, want, left, busy, spare, out, cached=True)
             left = self._lend(team, want, left, pool, idle, out, now)
-            left = self._recall(team, want, left, lent, spare, out, now)
+            left = self._recall(team, want, left, busy, spare, out)
             while left > 0:
                 offer = self._offer(want, left, rents, now)
                 most = self.renting.most_machines
@@ -150,14 +158,11 @@
 
     def _forget_settled(self, lent: dict[str, Lent], pictures: dict[str, Picture], now: float) -> None:
         patience = self.shared.workers.gang_peer_s + 4 * self.shared.workers.report_s
-        self.recalling = [item for item in self.recalling if now - item[2] < patience]
-        for name, machine in lent.items():
-            if machine.part and self.parts.get(name, machine.part) != machine.part:
-                arrived = next((item for item in self.recalling if item[:2] == (machine.part, machine.zone)), None)
-                if arrived:
-                    self.recalling.remove(arrived)
-                    self.coming[name] = (machine.part, now)
-        self.parts = {name: machine.part for name, machine in lent.items()}
+        for name, (team, since) in list(self.recalling.items()):
+            if name in lent and lent[name].part == team:
+                self.coming[name] = (team, now)
+            if name in self.coming or now - since > patience:
+                del self.recalling[name]
         for name, (team, since) in list(self.coming.items()):
             record = lent.get(name)
             picture = pictures.get(team)
@@ -168,15 +173,12 @@
     def _virtual(self, lent: dict[str, Lent]) -> dict[str, list[list]]:  # type: ignore[type-arg]
         """Machines lent or asked for that their part's picture does not hold yet: type, zone, kind and room."""
         out: dict[str, list[list]] = {}  # type: ignore[type-arg]
-        for name, (team, _) in self.coming.items():
+        for name, (team, _) in [*self.coming.items(), *self.recalling.items()]:
             machine = lent.get(name)
             if machine and machine.type in self.catalog:
                 shape = self.catalog[machine.type]
                 room = [shape, machine.zone, machine.spot, shape.cpus, shape.accelerators, shape.ram_gb]
                 out.setdefault(team, []).append(room)
-        for team, zone, _ in self.recalling:
-            shape = max(self.catalog.values(), key=lambda shape: shape.accelerators)
-            out.setdefault(team, []).append([shape, zone, False, shape.cpus, shape.accelerators, shape.ram_gb])
         for rent in self.renting_now:
             shape = self.catalog[rent.type]
             for _ in range(rent.number):
@@ -230,28 +232,31 @@
         return max(sorted(score), key=lambda zone: score[zone], default="")
 
     def _recall(
-        self, team: str, want: Want, left: int, lent: dict[str, Lent], spare: dict[str, int], out: list[Decision], now: float,
-        cached: bool = False,
+        self, team: str, want: Want, left: int, busy: dict[str, tuple[Lent, Busy]], spare: dict[str, int],
+        out: list[Decision], cached: bool = False,
     ) -> int:  # fmt: skip
-        """A guarantee is regained from teams beyond theirs: sooner than a machine boots."""
-        if not want.guaranteed:
-            return left
-        for other in sorted(spare, key=lambda name: -spare[name]):
-            if other == team or left <= 0 or spare[other] <= 0:
+        """Sooner than a machine boots: a guarantee is regained from teams beyond theirs, and work of higher
+        priority takes the place of lower where less is lost by it than a boot's wait would cost."""
+        options: list[tuple[float, str, Lent]] = []
+        for name, (machine, at_work) in busy.items():
+            if machine.part == team or not self._suits(want, machine.type, machine.zone, machine.spot):
+                continue
+            if cached and want.image not in machine.images:
                 continue
-            theirs = [
-                m for m in lent.values()
-                if m.part == other and m.type in self.catalog and self._suits(want, m.type, m.zone, m.spot)
-                and (not cached or want.image in m.images)
-            ]  # fmt: skip
-            if not theirs:
+            shape = self.catalog[machine.type]
+            steps = want.priority - at_work.priority
+            may = want.guaranteed and spare[machine.part] > 0
+            if not may and not (steps > 0 and want.slack_s < shape.boot_s and at_work.loss_s <= shape.boot_s * steps):
                 continue
-            per = max(1, capacity(self.catalog[theirs[0].type], want.cpus, want.gpus, want.memory))
-            take = min(-(-left // per), spare[other], len(theirs))
-            out.append(Recalled(other, team, take, want.zone, want.spot, want.types, want.image))
-            self.recalling += [(team, theirs[n].zone if not want.zone else want.zone, now) for n in range(take)]
-            spare[other] -= take
-            left -= take * per
+            options.append((at_work.loss_s, name, machine))
+        for _, name, machine in sorted(options):
+            if left <= 0:
+                break
+            out.append(Recalled(machine.part, team, [name]))
+            self.recalling[name] = (team, self.now)
+            busy.pop(name)
+            spare[machine.part] -= 1
+            left -= max(1, capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory))
         return left
 
     def _lend(
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -64,15 +64,19 @@
 
 
 class Recalled(NamedTuple):
-    """Machines that a part is to vacate for another team, and what they have to suit."""
+    """Machines that a part is to vacate for another team."""
 
     part: str
     to: str
-    machines: int
-    zone: str
-    spot: bool
-    types: tuple[str, ...]
-    image: str
+    machines: list[str]
+
+
+class Busy(NamedTuple):
+    """A machine at work: what stopping it would cost."""
+
+    machine: str
+    priority: int  # the highest on it
+    loss_s: float  # work lost, in seconds of the whole machine
 
 
 class Picture(NamedTuple):
@@ -82,6 +86,7 @@
     seen: int  # the latest assignment of a machine that this picture takes in
     wants: list[Want]
     idle: list[tuple[str, float]]  # empty machines, and for how long
+    busy: list[Busy]
     machines: int
     waiting: int
     spare_beyond: int  # machines held beyond the guarantee
@@ -708,6 +713,7 @@
             return 0.0
         ran = now - placement.held_at
         lost = spec.save_s if spec.checkpoint_s > 0 else ran
+        lost += max(0.0, 30.0 - ran)  # what is stopped this soon has not counted as started
         return lost * (spec.gpus or spec.cpus) * (spec.tasks if spec.kind == "gang" else 1)
 
     def _keep_for_gang(self, job: Job) -> tuple[str, int]:
@@ -737,6 +743,10 @@
                 kept += room
         return best, min(kept, spec.tasks)
 
+    def _machine_loss(self, machine: Machine, now: float) -> float:
+        loss = sum(self._loss(placement, now) for placement in machine.live.values())
+        return loss / (machine.shape.accelerators or machine.shape.cpus)
+
     def _net_wants(self, short: list[tuple[Job, int, str]], now: float) -> list[Want]:
         """What is lacking once the machines still booting are counted in."""
         coming: list[list[Any]] = [
@@ -779,6 +789,11 @@
             for m in self.machines.values()
             if m.empty and m.idle_since is not None and m.usable and m.name not in self.reserved
         ]  # fmt: skip
+        busy = [
+            Busy(m.name, max(self.jobs[p.job].spec.priority for p in m.live.values()), self._machine_loss(m, now))
+            for m in self.machines.values()
+            if m.live and m.usable and m.name not in self.reserved
+        ]  # fmt: skip
         held_cpus = sum(m.shape.cpus for m in self.machines.values())
         held_gpus = sum(m.shape.accelerators for m in self.machines.values())
         beyond = 0
@@ -789,7 +804,7 @@
                 break
             beyond += 1
         waiting = sum(job.ready for job in self.jobs.values() if job.active)
-        return Picture(self.name, self.seen, self.wants, idle, len(self.machines), waiting, beyond)
+        return Picture(self.name, self.seen, self.wants, idle, busy, len(self.machines), waiting, beyond)
 
     def yield_machine(self, name: str, to: str, now: float) -> None:
         """The leader wants it elsewhere. It goes if empty, by a write under our fence."""
@@ -799,26 +814,14 @@
             machine.leave("moves")
 
     def recall(self, order: Recalled, now: float) -> None:
-        """Vacate machines for a team that lacks its guarantee: those whose loss and image fetch cost least."""
-        why = f"recalled for {order.to}"
-        options = []
-        leaving = 0
-        for machine in self.machines.values():
-            if order.zone not in ("", machine.zone) or (machine.spot and not order.spot):
-                continue
-            if order.types and machine.type not in order.types:
-                continue
-            if machine.why == why:
-                leaving += 1
-            elif machine.usable and machine.name not in self.reserved:
-                loss = sum(self._loss(p, now) for p in machine.live.values()) / max(machine.shape.accelerators, 1)
-                away = 0.0 if order.image in machine.images else self.workers.lease_s
-                options.append((loss + away, machine.name, machine))
-        for _, _, machine in sorted(options)[: max(0, order.machines - leaving)]:
-            log.info("machine %s is vacated for team %s", machine.name, order.to)
-            machine.leave(why)
-            machine.to = order.to
-            self._drain(machine, now)
+        """Vacate machines for a team that lacks its guarantee, or for work of higher priority."""
+        for name in order.machines:
+            machine = self.machines.get(name)
+            if machine and machine.usable and name not in self.reserved:
+                log.info("machine %s is vacated for team %s", name, order.to)
+                machine.leave(f"recalled for {order.to}")
+                machine.to = order.to
+                self._drain(machine, now)
 
     # -- writing --------------------------------------------------------------------------------
 
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -85,7 +85,7 @@
                     else:
                         self._spawn(self._assign(machine, to))
                 case Recalled():
-                    log.info("team %s is to give %d machines back to %s", decision.part, decision.machines, decision.to)
+                    log.info("team %s is to give %s to %s", decision.part, ",".join(decision.machines), decision.to)
                     controller.to_owner(decision.part, decision)
                 case Release(machines):
                     for name in machines:
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -10,7 +10,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from ashdock.core.part import Picture, Recalled, Want
+from ashdock.core.part import Busy, Picture, Recalled, Want
 
 MAGIC = b"AD"
 VERSION = 1
@@ -22,7 +22,7 @@
 U64 = struct.Struct("!Q")
 F64 = struct.Struct("!d")
 WANT = struct.Struct("!dddIB??dB")  # cpus gpus memory tasks priority spot together slack guaranteed
-RECALL = struct.Struct("!I?")
+BUSY = struct.Struct("!Bd")  # priority, loss
 BEAT = struct.Struct("!Qdd??")  # incarnation, age of the state's last answer, of the last worker's; ready, leader
 
 
@@ -153,8 +153,8 @@
         case Yield(part, machine, to):
             return FrameKind.YIELD, _text(part) + _text(machine) + _text(to)
         case Recalled():
-            where = _text(frame.part) + _text(frame.to) + RECALL.pack(frame.machines, frame.spot) + _text(frame.zone)
-            return FrameKind.RECALL, where + _text(frame.image) + U16.pack(len(frame.types)) + b"".join(map(_text, frame.types))
+            names = b"".join(map(_text, frame.machines))
+            return FrameKind.RECALL, _text(frame.part) + _text(frame.to) + U32.pack(len(frame.machines)) + names
         case Relay(number, body):
             return FrameKind.RELAY, U32.pack(number) + _blob(body)
         case Relayed(number, status, body):
@@ -181,6 +181,9 @@
     out.append(U32.pack(len(picture.idle)))
     for name, idle_s in picture.idle:
         out += [_text(name), F64.pack(idle_s)]
+    out.append(U32.pack(len(picture.busy)))
+    for busy in picture.busy:
+        out += [_text(busy.machine), BUSY.pack(busy.priority, busy.loss_s)]
     return b"".join(out)
 
 
@@ -195,7 +198,8 @@
         zone, image = reader.text(), reader.text()
         wants.append(Want(cpus, gpus, memory, types, zone, spot, together, tasks, priority, bool(promised), slack, image))
     idle = [(reader.text(), float(reader.take(F64)[0])) for _ in range(reader.many())]
-    return Picture(team, seen, wants, idle, machines, waiting, beyond)
+    busy = [Busy(reader.text(), *reader.take(BUSY)) for _ in range(reader.many())]
+    return Picture(team, seen, wants, idle, busy, machines, waiting, beyond)
 
 
 def head(data: bytes) -> tuple[int, int]:
@@ -222,11 +226,7 @@
     elif kind == FrameKind.YIELD:
         frame = Yield(reader.text(), reader.text(), reader.text())
     elif kind == FrameKind.RECALL:
-        part, to = reader.text(), reader.text()
-        machines, spot = reader.take(RECALL)
-        zone, image = reader.text(), reader.text()
-        types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
-        frame = Recalled(part, to, machines, zone, spot, types, image)
+        frame = Recalled(reader.text(), reader.text(), [reader.text() for _ in range(reader.many())])
     elif kind == FrameKind.RELAY:
         frame = Relay(reader.take(U32)[0], reader.blob())
     elif kind == FrameKind.RELAYED:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,7 @@
 from ashdock.core import park as parking
 from ashdock.core.allotment import Allotment, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
-from ashdock.core.part import Part, Picture, Want
+from ashdock.core.part import Busy, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
 from ashdock.settings import Operators, Renting, Retry, Team
@@ -256,17 +256,31 @@
     return Lent(name, part, "g4", zone, spot, 5, "")
 
 
-LEADER = [  # machines, red's wants, blue's empty machines -> kinds of decision
-    ([], [want()], [], [Rent]), ([lent("m1", "")], [want()], [], [Move]), ([lent("m1", "blue")], [want()], [("m1", 1.0)], [Move]),
-    ([lent("m1", "blue", "b")], [want(zone="a")], [("m1", 1.0)], [Rent]), ([lent("m1", "blue")], [], [("m1", 99.0)], [Move]),
-    ([lent("m1", "", spot=True)], [want(spot=False)], [], [Rent]), ([], [], [], []), ([lent("m1", "")], [], [], [Release]),
+LEADER = [  # machines, red's wants, blue's empty and busy machines, how many of them beyond its guarantee -> decisions
+    ([], [want()], [], [], 0, [Rent]),
+    ([lent("m1", "")], [want()], [], [], 0, [Move]),
+    ([lent("m1", "blue")], [want()], [("m1", 1.0)], [], 0, [Move]),
+    ([lent("m1", "blue", "b")], [want(zone="a")], [("m1", 1.0)], [], 0, [Rent]),
+    ([lent("m1", "blue")], [], [("m1", 99.0)], [], 0, [Move]),
+    ([lent("m1", "", spot=True)], [want(spot=False)], [], [], 0, [Rent]),
+    ([], [], [], [], 0, []),
+    ([lent("m1", "")], [], [], [], 0, [Release]),
+    # Work beyond a guarantee gives way to a team's guarantee, whatever its priority; otherwise only to higher priority.
+    ([lent("m1", "blue")], [want()], [], [Busy("m1", 3, 50.0)], 1, [Recalled]),
+    ([lent("m1", "blue")], [want(guaranteed=False)], [], [Busy("m1", 1, 0.0)], 1, [Rent]),
+    ([lent("m1", "blue")], [want()], [], [Busy("m1", 1, 0.0)], 0, [Rent]),
+    ([lent("m1", "blue")], [want()], [], [Busy("m1", 0, 5.0)], 0, [Recalled]),
+    ([lent("m1", "blue")], [want()], [], [Busy("m1", 0, 7.0)], 0, [Rent]),
+    ([lent("m1", "blue")], [want(slack_s=60.0)], [], [Busy("m1", 0, 5.0)], 0, [Rent]),
 ]  # fmt: skip
 
 
-@pytest.mark.parametrize(("machines", "wants", "idle", "kinds"), LEADER)
-def test_the_leader_chooses(machines: list[Lent], wants: list[Want], idle: list[tuple[str, float]], kinds: list[type]) -> None:
+@pytest.mark.parametrize(("machines", "wants", "idle", "busy", "beyond", "kinds"), LEADER)
+def test_the_leader_chooses(
+    machines: list[Lent], wants: list[Want], idle: list[tuple[str, float]], busy: list[Busy], beyond: int, kinds: list[type]
+) -> None:
     allotment = Allotment(shared(), Renting(), {"g4": G4})
-    pictures = {"red": Picture("red", 9, wants, [], 0, 0, 0), "blue": Picture("blue", 9, [], idle, 1, 0, 0)}
+    pictures = {"red": Picture("red", 9, wants, [], [], 0, 0, 0), "blue": Picture("blue", 9, [], idle, busy, 1, 0, beyond)}
     decisions = allotment.decide(machines, pictures, 0.0)
     if kinds == [Release]:
         assert decisions == []  # not before it has stood in the pool for a while
