--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -131,8 +131,14 @@
         total = len(lent) + sum(rent.number for rent in self.renting_now)
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
-            if want.together and not want.zone and left > 0:
-                want = want._replace(zone=self._best_zone(team, want, lent, pool, idle, now))
+            if want.together and left > 0 and (want.whole or not want.zone):
+                scores = self._zones(team, want._replace(zone=""), pool, idle, busy, spare)
+                if scores.get(want.zone, 0.0) < left:
+                    # The rest of the gang is not to be had where its owner would have it.
+                    zone = max(sorted(scores), key=lambda zone: scores[zone], default="")
+                    if zone != want.zone:
+                        left = max(left, want.whole)
+                        want = want._replace(zone=zone, tasks=left)
             # Calling back a machine that has the image is sooner than fetching it on one that stands empty.
             left = self._lend(team, want, left, pool, idle, out, now, cached=True)
             left = self._recall(team, want, left, busy, spare, out, cached=True)
@@ -210,43 +216,51 @@
             return False
         return want.spot or not spot
 
-    def _best_zone(
-        self, team: str, want: Want, lent: dict[str, Lent], pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
-        now: float,
-    ) -> str:  # fmt: skip
-        """Where a gang that must stay together is soonest complete: what stands empty there, then what can be recalled."""
-        empty = {*pool, *(name for name, (machine, _) in idle.items() if machine.part != team)}
+    def _zones(
+        self, team: str, want: Want, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
+        busy: dict[str, tuple[Lent, Busy]], spare: dict[str, int],
+    ) -> dict[str, float]:  # fmt: skip
+        """How many more of a gang's tasks each zone would take: on what stands empty, can be recalled, or rented."""
         score: dict[str, float] = {}
-        for machine in lent.values():
-            if machine.type not in self.catalog or not self._suits(want, machine.type, machine.zone, machine.spot):
-                continue
-            if machine.name in empty:
-                score[machine.zone] = score.get(machine.zone, 0.0) + 1.0
-            elif want.guaranteed and machine.part not in ("", team):
-                score[machine.zone] = score.get(machine.zone, 0.0) + 0.5
+        empty = [*pool.values(), *(machine for machine, _ in idle.values() if machine.part != team)]
+        recallable = [machine for machine, at_work in busy.values() if self._may_recall(team, want, machine, at_work, spare)]
+        for worth, machines in ((1.0, empty), (0.99, recallable)):
+            for machine in machines:
+                if machine.type in self.catalog and self._suits(want, machine.type, machine.zone, machine.spot):
+                    score[machine.zone] = score.get(machine.zone, 0.0) + worth * self._per(machine, want)
         for shape in self.catalog.values():
             for zone in shape.yards:
                 kinds = (True, False) if want.spot else (False,)
-                if any(self.refused.get((shape.label, zone, spot), (0.0, 0.0))[0] <= now for spot in kinds):
-                    score[zone] = score.get(zone, 0.0) + 0.5
-        return max(sorted(score), key=lambda zone: score[zone], default="")
+                if any(self.refused.get((shape.label, zone, spot), (0.0, 0.0))[0] <= self.now for spot in kinds):
+                    score[zone] = score.get(zone, 0.0) + 0.9 * max(want.tasks, want.whole)
+        return score
+
+    def _per(self, machine: Lent, want: Want) -> int:
+        return capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory)
+
+    def _may_recall(self, team: str, want: Want, machine: Lent, at_work: Busy, spare: dict[str, int]) -> bool:
+        """A guarantee is regained from teams beyond theirs, and work of higher priority takes the place of
+        lower where less is lost by it than a boot's wait would cost."""
+        if machine.part == team:
+            return False
+        boot_s = self.catalog[machine.type].boot_s
+        steps = want.priority - at_work.priority
+        if want.guaranteed and spare[machine.part] > 0:
+            return True
+        return steps > 0 and want.slack_s < boot_s and at_work.loss_s <= boot_s * steps
 
     def _recall(
         self, team: str, want: Want, left: int, busy: dict[str, tuple[Lent, Busy]], spare: dict[str, int],
         out: list[Decision], cached: bool = False,
     ) -> int:  # fmt: skip
-        """Sooner than a machine boots: a guarantee is regained from teams beyond theirs, and work of higher
-        priority takes the place of lower where less is lost by it than a boot's wait would cost."""
+        """Sooner than a machine boots."""
         options: list[tuple[float, str, Lent]] = []
         for name, (machine, at_work) in busy.items():
-            if machine.part == team or not self._suits(want, machine.type, machine.zone, machine.spot):
+            if not self._suits(want, machine.type, machine.zone, machine.spot):
                 continue
             if cached and want.image not in machine.images:
                 continue
-            shape = self.catalog[machine.type]
-            steps = want.priority - at_work.priority
-            may = want.guaranteed and spare[machine.part] > 0
-            if not may and not (steps > 0 and want.slack_s < shape.boot_s and at_work.loss_s <= shape.boot_s * steps):
+            if not self._may_recall(team, want, machine, at_work, spare):
                 continue
             options.append((at_work.loss_s, name, machine))
         for _, name, machine in sorted(options):
@@ -256,7 +270,7 @@
             self.recalling[name] = (team, self.now)
             busy.pop(name)
             spare[machine.part] -= 1
-            left -= max(1, capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory))
+            left -= max(1, self._per(machine, want))
         return left
 
     def _lend(
@@ -275,7 +289,7 @@
                 continue
             if cached and want.image not in machine.images:
                 continue
-            per = capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory)
+            per = self._per(machine, want)
             if per <= 0:
                 continue
             out.append(Move(machine.part, machine.name, team))
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -61,6 +61,7 @@
     guaranteed: bool
     slack_s: float  # until it had better run
     image: str = ""
+    whole: int = 0  # gang in one zone of the owner's choosing: all its tasks, should another zone do better
 
 
 class Recalled(NamedTuple):
@@ -778,7 +779,7 @@
                     Want(
                         spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
                         spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
-                        self.slack(job, now), spec.image,
+                        self.slack(job, now), spec.image, spec.tasks if spec.one_zone and not spec.zone and zone else 0,
                     )
                 )  # fmt: skip
         return out
