--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -126,8 +126,6 @@
         on_the_way = self._virtual(lent)
         rents: dict[tuple[str, str, str, bool], int] = {}
         spare = {picture.team: picture.spare_beyond for picture in pictures.values()}
-        for picture in pictures.values():
-            spare[picture.team] -= sum(1 for _, idle_s in picture.idle)
         total = len(lent) + sum(rent.number for rent in self.renting_now)
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -60,7 +60,8 @@
         self.broke: Failure | None = None  # gang: a failure of its own seen in this attempt
         self.avoid: dict[str, float] = {}  # machine: until when this job had better not go there
         self.first_start: float | None = None
-        self.preempted_at = -math.inf
+        self.preempted_at = -math.inf  # when work of its team was last stopped for it
+        self.cleared = 0  # and on how many machines
 
     # -- states of tasks -------------------------------------------------------------------
 
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -651,7 +651,9 @@
             if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
                 zone, kept = self._keep_for_gang(job)
                 missing -= kept
-            if missing:
+            if now - job.preempted_at < self.workers.lease_s / 2:
+                missing -= job.cleared  # room is being made already
+            if missing > 0:
                 short.append((job, missing, zone))
         for job, missing, zone in short:
             self._make_room(job, missing, zone, now)
@@ -699,6 +701,7 @@
             best = max(sorted(set(by_zone)), key=by_zone.count, default="")
             victims = [victim for victim in victims if victim[1].zone == best]
         victims.sort(key=lambda victim: (victim[0], victim[1].name))
+        job.cleared = len(victims[:missing])
         for _, machine, _ in victims[:missing]:
             job.preempted_at = now
             log.info("job %s takes the place of lower work on %s", job.id, machine.name)
@@ -795,17 +798,27 @@
             for m in self.machines.values()
             if m.live and m.usable and m.name not in self.reserved
         ]  # fmt: skip
-        held_cpus = sum(m.shape.cpus for m in self.machines.values())
-        held_gpus = sum(m.shape.accelerators for m in self.machines.values())
+        waiting = sum(job.ready for job in self.jobs.values() if job.active)
+        return Picture(self.name, self.seen, self.wants, idle, busy, len(self.machines), waiting, self._beyond(busy))
+
+    def _beyond(self, busy: list[Busy]) -> int:
+        """How many machines' work the team runs beyond its guarantee. Machines that stand empty or boot do not
+        count: taking running work for those made machines go round between teams that were all within theirs."""
+        cpus, gpus = self.usage.cpus, self.usage.gpus
         beyond = 0
-        for machine in self.machines.values():
-            held_cpus -= machine.shape.cpus
-            held_gpus -= machine.shape.accelerators
-            if guaranteed(self.team, held_cpus, held_gpus):
+        for item in sorted(busy, key=lambda item: item.loss_s):
+            machine = self.machines[item.machine]
+            cpus -= machine.shape.cpus - machine.cpus
+            gpus -= machine.shape.accelerators - machine.gpus
+            if guaranteed(self.team, cpus + 1e-3, gpus + 1e-3) and not self._at_least(cpus, gpus):
                 break
             beyond += 1
-        waiting = sum(job.ready for job in self.jobs.values() if job.active)
-        return Picture(self.name, self.seen, self.wants, idle, busy, len(self.machines), waiting, beyond)
+        return beyond
+
+    def _at_least(self, cpus: float, gpus: float) -> bool:
+        """Whether so much still fills the guarantee."""
+        team = self.team
+        return not ((team.gpus > 0 and gpus < team.gpus - 1e-6) or (team.cpus > 0 and cpus < team.cpus - 1e-6))
 
     def yield_machine(self, name: str, to: str, now: float) -> None:
         """The leader wants it elsewhere. It goes if empty, by a write under our fence."""
