--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,208 @@
+"""Tables and seeded fuzz on what comes from outside: settings, HTTP messages, reports and mesh frames."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ashdock import cli
+from ashdock.core.part import Busy, Picture, Recalled, Want
+from ashdock.net.http import Answer, Client, Request, Server
+from ashdock.settings import SettingsError, load, load_operators
+from ashdock.wire import frames
+from ashdock.wire.frames import BadFrame, Beat, Counts, Hello, Relay, Relayed, Yield
+from ashdock.wire.messages import Malformed, decode_report, decode_run, encode
+from tests import simtime
+from tests.whole import job
+
+GOOD = """
+label = "n0"
+area = "a"
+bind = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+unheard_of = 1
+[[others]]
+label = "n1"
+endpoint = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+size = 3
+zones = ["a", "b"]
+[[settings.teams]]
+name = "red"
+gpus = 8.0
+[settings.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 8.0
+cancel_s = 40.0
+[settings.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 8.0
+txn_ops = 48
+[settings.cloud]
+rps = 6.0
+list_lag_s = 4.0
+"""
+
+SETTINGS = [  # replaced, by what -> what the one line must name
+    ("", "", None), ('label = "n0"', "", "label"), ("report_s = 1.0", "report_s = -1.0", "report_s"),
+    ("report_s = 1.0", 'report_s = "x"', "report_s"), ("size = 3", "size = 0", "size"), ('"10.2.0.1:2379"', '"10.2.0.1"', "outside.state"),
+    ('bind = "10.0.0.1:8080"', 'bind = "10.0.0.1:99999"', "bind"), ("rps = 6.0", "rps = nan", "rps"), ("cancel_s = 40.0", "cancel_s = 9.0", "cancel_s"),
+    ("[outside]", "[outside", "TOML"), ('name = "red"', 'name = "re d"', "teams"), ("txn_ops = 48", "txn_ops = 1", "txn_ops"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("old", "new", "named"), SETTINGS)
+def test_settings(old: str, new: str, named: str | None, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = tmp_path / "s.toml"
+    file.write_text(GOOD.replace(old, new) if old else GOOD)
+    code = cli.main(["check-config", str(file)])
+    out = capsys.readouterr()
+    assert code == (0 if named is None else 2)
+    if named:
+        assert named in out.err and str(file) in out.err and out.err.count("\n") == 1
+
+
+OPERATORS = [
+    ("", None), ("retry {\n first_delay_s = 5\n}\n", None), ("retry {\n first_delay = 5\n}\n", "first_delay"),
+    ("retry {\n cap_s = -1\n}\n", "cap_s"), ("retry {\n cap_s = \n", "HCL"), ("colour = 1\n", "colour"),
+    ("renting {\n spot = false\n}\n", None), ("retry {\n}\nretry {\n}\n", "one block"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("text", "named"), OPERATORS)
+def test_operators_file(text: str, named: str | None, tmp_path: Path) -> None:
+    file = tmp_path / "ashdock.hcl"
+    file.write_text(text)
+    if named is None:
+        operators = load_operators(file)
+        assert operators.retry.first_delay_s in (2, 5)
+    else:
+        with pytest.raises(SettingsError, match=named):
+            load_operators(file)
+
+
+def test_the_operators_file_is_taken_in(tmp_path: Path) -> None:
+    (tmp_path / "s.toml").write_text(GOOD)
+    (tmp_path / "o.hcl").write_text("retry {\n most_parks = 7\n}\n")
+    assert load(str(tmp_path / "s.toml"), tmp_path / "o.hcl").operators.retry.most_parks == 7
+    assert load(str(tmp_path / "s.toml"), tmp_path / "none.hcl").operators.retry.most_parks == 30
+
+
+FRAMES: list[Any] = [
+    Hello("n1"), Beat(7, 0.5, 1.5, True, False), Yield("red", "vm-1", ""), Recalled("red", "blue", ["vm-1", "vm-2"]),
+    Relay(9, b'{"a":1}'), Relayed(9, 503, b""), Counts([("req-1", 3, 4), ("req-2", 0, 0)]),
+    Picture("red", 12, [Want(1.0, 2.0, 3.0, ("g4", "g8"), "a", True, False, 5, 2, True, -3.5, "img", 6)], [("vm-9", 2.5)],
+            [Busy("vm-8", 3, 4.5)], 4, 5, 6),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("frame", FRAMES, ids=lambda frame: type(frame).__name__)
+def test_frames_there_and_back(frame: Any) -> None:
+    raw = frames.pack(frame)
+    kind, length = frames.head(raw[: frames.HEAD.size])
+    body = raw[frames.HEAD.size :]
+    assert length == len(body) and frames.unpack(kind, body) == frame
+    for cut in range(len(body)):
+        with pytest.raises(BadFrame):
+            frames.unpack(kind, body[:cut])
+    with pytest.raises(BadFrame):
+        frames.unpack(kind, body + b"\0")
+
+
+def test_frames_fuzzed() -> None:
+    rng = random.Random(5)
+    for _ in range(3000):
+        raw = bytearray(frames.pack(rng.choice(FRAMES)))
+        for _ in range(rng.randrange(1, 4)):
+            raw[rng.randrange(len(raw))] = rng.randrange(256)
+        try:
+            kind, _ = frames.head(bytes(raw[: frames.HEAD.size]))
+            frames.unpack(kind, bytes(raw[frames.HEAD.size :]))
+        except BadFrame:
+            pass
+
+
+HEADS = [(b"XX", 1, 1, 0), (b"AD", 2, 1, 0), (b"AD", 1, 1, frames.MOST + 1)]
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_heads_refused(head: Any) -> None:
+    with pytest.raises(BadFrame):
+        frames.head(frames.HEAD.pack(*head))
+
+
+def test_bodies_fuzzed() -> None:
+    rng = random.Random(6)
+    report = {"berth": "vm-1", "address": "h:1", "hull": "g4", "yard": "a", "tenure": 1, "tally": 2, "warrant": 3,
+              "shares": [{"share": "req-1/0", "try": 1, "status": "running"}]}  # fmt: skip
+    for decode, good in ((decode_run, encode(job(1))), (decode_report, encode(report))):
+        decode(good)  # type: ignore[operator]
+        for _ in range(2000):
+            raw = bytearray(good)
+            for _ in range(rng.randrange(1, 5)):
+                at = rng.randrange(len(raw))
+                raw[at : at + rng.randrange(3)] = bytes(rng.randrange(256) for _ in range(rng.randrange(3)))
+            try:
+                decode(bytes(raw))  # type: ignore[operator]
+            except Malformed:
+                pass
+
+
+MESSAGES = [  # bytes sent -> start of what comes back
+    (b"nonsense\r\n\r\n", b"HTTP/1.1 400"), (b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 400"),
+    (b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\n", b"HTTP/1.1 400"), (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n" + b"x" * 99999, b"HTTP/1.1 400"),
+    (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", b"HTTP/1.1 200"), (b"GET / HTTP/1.1\r\n", b""), (b"", b""),
+    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"HTTP/1.1 400"),
+    (b"POST /boom HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 503"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("sent", "expected"), MESSAGES)
+def test_http_messages(sent: bytes, expected: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Also the slow and the silent: closed in time, and nothing of them kept."""
+
+    async def handle(request: Request) -> Answer:
+        if request.target == "/boom":
+            raise ValueError("planted")
+        return Answer(200, b"{}")
+
+    async def main(net: simtime.Net) -> bytes:
+        server = Server(handle, 10, idle_s=20.0, slow_s=5.0)
+        await server.start("10.0.0.1", 80)
+        reader, writer = await net.open_connection("10.0.0.1", 80)
+        writer.write(sent)
+        got: bytes = await asyncio.wait_for(reader.read(4096), 60)
+        writer.close()
+        await asyncio.sleep(60)
+        assert not server.open
+        return got
+
+    assert simtime.run(main, 1, monkeypatch).startswith(expected)
+
+
+def test_a_full_server_says_so_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def handle(request: Request) -> Answer:
+        return Answer(200, b"{}")
+
+    async def main(net: simtime.Net) -> None:
+        server = Server(handle, 3, idle_s=20.0, slow_s=5.0)
+        await server.start("10.0.0.1", 80)
+        silent = [await net.open_connection("10.0.0.1", 80) for _ in range(3)]
+        await asyncio.sleep(0.1)
+        reader, _ = await net.open_connection("10.0.0.1", 80)
+        assert b"503" in (first := await asyncio.wait_for(reader.read(4096), 1)) and b"Retry-After" in first
+        await asyncio.sleep(10)
+        status, _ = await Client("10.0.0.1", 80).request("GET", "/", b"", 1.0)
+        assert status == 200 and silent
+
+    simtime.run(main, 1, monkeypatch)
