--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -20,7 +20,7 @@
 from ashdock.net.worker import WorkerClient
 from ashdock.owner import Owner, OwnerPhase
 from ashdock.settings import Settings, Team, address
-from ashdock.wire.frames import Beat, Counts, Frame, Relay, Relayed, Yield
+from ashdock.wire.frames import Beat, Counts, Frame, Give, Relay, Relayed, Yield
 from ashdock.wire.messages import MachineType
 
 log = logging.getLogger("ashdock.controller")
@@ -342,7 +342,7 @@
                 out[team] = owner.part.picture(self.now())
         return out
 
-    def to_owner(self, team: str, frame: Yield | Recalled) -> None:
+    def to_owner(self, team: str, frame: Yield | Recalled | Give) -> None:
         if team in self.owners:
             self._for_part(frame)
         else:
@@ -350,12 +350,15 @@
             if label:
                 self.mesh.send(label, frame)
 
-    def _for_part(self, frame: Yield | Recalled) -> None:
+    def _for_part(self, frame: Yield | Recalled | Give) -> None:
         owner = self.owners.get(frame.part)
         if owner is None:
             return
         if isinstance(frame, Yield):
             owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()))
+        elif isinstance(frame, Give):
+            owner.give_to = frame.to
+            owner.wake.set()
         else:
             owner.note(lambda part: part.recall(frame, self.now()))
 
@@ -363,7 +366,7 @@
         match frame:
             case Picture():
                 self.remote_pictures[frame.team] = (time.monotonic(), frame)
-            case Yield() | Recalled():
+            case Yield() | Recalled() | Give():
                 self._for_part(frame)
             case Counts(jobs):
                 self.remote_counts[label] = {job: (done, running) for job, done, running in jobs}
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -44,11 +44,18 @@
     to: str
 
 
+class GivePart(NamedTuple):
+    """Hand a part to another controller."""
+
+    part: str
+    to: str
+
+
 class Release(NamedTuple):
     machines: list[str]
 
 
-Decision = Rent | Move | Recalled | Release
+Decision = Rent | Move | Recalled | Release | GivePart
 
 
 class Allotment:
@@ -57,6 +64,7 @@
         self.renting = renting
         self.catalog = catalog
         self.now = 0.0
+        self.moved_part_at = -1e9
         self.refused: dict[tuple[str, str, bool], tuple[float, float]] = {}  # until when, and the last pause
         self.coming: dict[str, tuple[str, float]] = {}  # machine: team it was lent to, and when
         self.renting_now: list[Rent] = []
@@ -321,6 +329,30 @@
                         best = key, (shape, zone, spot)
         return best[1] if best else None
 
+    def balance(self, owners: dict[str, str], alive: list[str], pictures: dict[str, Picture], now: float) -> list[Decision]:
+        """Parts go from the controller with most work to the one with least, where that evens them out.
+        Rarely, since a part's workers must find its new owner."""
+        load = {team: picture.waiting + picture.machines + 1 for team, picture in pictures.items()}
+        held = dict.fromkeys(alive, 0)
+        for team, label in owners.items():
+            if label not in held or team not in load:
+                return []  # somebody is ended or cut off: takeovers come first
+            held[label] += load[team]
+        if now - self.moved_part_at < 2 * self.shared.workers.lease_s or len(held) < 2:
+            return []
+        most = max(sorted(held), key=lambda label: held[label])
+        least = min(sorted(held), key=lambda label: held[label])
+        gap = held[most] - held[least]
+        movable = [team for team, label in owners.items() if label == most and load[team] < gap]
+        if sum(label == most for label in owners.values()) < 2 or not movable:
+            return []
+        # The part that leaves the two most alike.
+        team = min(sorted(movable), key=lambda team: abs(gap - 2 * load[team]))
+        if abs(gap - 2 * load[team]) > 0.7 * gap:
+            return []
+        self.moved_part_at = now
+        return [GivePart(team, least)]
+
     def _returns(
         self, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]], wants: list[tuple[str, Want]], now: float
     ) -> list[Decision]:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -115,6 +115,7 @@
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
         self.wants: list[Want] = []
         self.wanted_before = False
+        self.learnt: dict[str, tuple[float, int]] = {}  # class: run time by estimate, and from how many tasks
         self.reserved: set[str] = set()  # empty machines kept for a gang that lacks others
         self.seen = stamp
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
@@ -422,6 +423,7 @@
         if cause == "done" and job.spec.kind != "service" and job.active:
             machine.failed.clear()
             machine.images[job.spec.image] = now
+            self._learn(job, placement, now)
             tasks = range(job.spec.tasks) if job.spec.kind == "gang" else (placement.task,)
             for task in tasks:
                 self._finish(job, task, now)
@@ -435,6 +437,19 @@
                 job.broke = job.broke or (Failure(0, now, f"error on {machine.name}") if job.spec.kind == "gang" else None)
             self._lost(placement, cause, now)
 
+    def _learn(self, job: Job, placement: Placement, now: float) -> None:
+        """Owners' estimates are often wrong, on some days mostly one way: a class's are corrected by what its tasks took."""
+        spec = job.spec
+        if placement.running_at is None or spec.estimate_s <= 0 or (placement.attempt > 1 and spec.checkpoint_s > 0):
+            return
+        ratio = min(4.0, max(0.25, (now - placement.running_at) / spec.estimate_s))
+        weight = 1 / min(self.learnt.get(spec.job_class, (1.0, 0))[1] + 2, 20)
+        known, seen = self.learnt.get(spec.job_class, (1.0, 0))
+        self.learnt[spec.job_class] = (known + (ratio - known) * weight, seen + 1)
+
+    def run_s(self, spec: Spec) -> float:
+        return spec.estimate_s * self.learnt.get(spec.job_class, (1.0, 0))[0]
+
     # -- orders ---------------------------------------------------------------------------------
 
     def orders(self, machine: Machine, now: float, checkin: Report | None) -> list[Order]:
@@ -618,7 +633,7 @@
         """Seconds until the job had better be running."""
         spec = job.spec
         if spec.deadline_s is not None:
-            return job.submitted + spec.deadline_s - spec.estimate_s - now
+            return job.submitted + spec.deadline_s - self.run_s(spec) - now
         return job.submitted + self.aim_s(spec) - now
 
     def aim_s(self, spec: Spec) -> float:
@@ -633,12 +648,12 @@
         spec = job.spec
         if spec.deadline_s is None:
             return (-spec.priority, 0.0, job.submitted - now)
-        late = now + spec.estimate_s * (1 - self.grace) - job.submitted
+        late = now + self.run_s(spec) * (1 - self.grace) - job.submitted
         times = sorted(o.times for o in self.shared.objectives if o.kind == "deadline" and o.job_class == spec.job_class and o.times)
         rank = float(sum(1 for factor in times or [1.0] if late > spec.deadline_s * factor))
         if late > spec.deadline_s * 4:
             rank = 0.0
-        return (-spec.priority, rank, (spec.tasks - job.done) * spec.estimate_s * max(spec.gpus, 1.0))
+        return (-spec.priority, rank, (spec.tasks - job.done) * self.run_s(spec) * max(spec.gpus, 1.0))
 
     grace = 0.25  # estimates are often wrong: a job is late for sure only with this share of its run time to spare
 
--- a/ashdock/core/task.py
+++ b/ashdock/core/task.py
@@ -36,8 +36,22 @@
 
 class Placement:
     __slots__ = (
-        "attempt", "gen", "held_at", "job", "leeway", "machine", "ordered", "phase", "placed_at", "recalled",
-        "seen", "status", "stop_at", "task", "why",
+        "attempt",
+        "gen",
+        "held_at",
+        "job",
+        "leeway",
+        "machine",
+        "ordered",
+        "phase",
+        "placed_at",
+        "recalled",
+        "running_at",
+        "seen",
+        "status",
+        "stop_at",
+        "task",
+        "why",
     )  # fmt: skip
 
     def __init__(self, job: str, task: int, attempt: int, machine: str, gen: int, now: float) -> None:
@@ -52,6 +66,7 @@
         self.seen = False
         self.status = ""
         self.held_at: float | None = None  # image held since
+        self.running_at: float | None = None
         self.stop_at: float | None = None
         self.leeway = 0.0
         self.why = ""
@@ -83,6 +98,8 @@
         self.status = status
         if status != "pulling" and self.held_at is None:
             self.held_at = now
+        if status == "running" and self.running_at is None:
+            self.running_at = now
         if self.phase is not Phase.STOPPING:
             self.phase = Phase.HELD
 
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -114,6 +114,8 @@
         ]
         if not fits:
             return "a task fits no machine type that the job allows"
+        if spec.kind == "gang" and spec.one_zone and spec.spread and spec.tasks > 1:
+            return "all tasks must run at once, in one zone, and at most half of them in any zone"
         if not can_ever(team, spec):
             return f"the job needs more than the limit of team {spec.team!r}"
         return None
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -6,11 +6,11 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from ashdock.core.allotment import Allotment, Lent, Move, Release, Rent
+from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.part import Picture, Recalled
 from ashdock.net.cloud import CloudTrouble, NoCapacity
 from ashdock.net.state import Conflict, Entry, Unavailable
-from ashdock.wire.frames import Yield
+from ashdock.wire.frames import Give, Yield
 from ashdock.wire.messages import Report
 
 if TYPE_CHECKING:
@@ -75,7 +75,9 @@
         if not controller.state_fresh() or not controller.machines.ready.is_set():
             return controller.tick_s
         pictures: dict[str, Picture] = controller.pictures()
-        for decision in self.allotment.decide(self._lent(), pictures, now):
+        owners = {team.name: controller.owner_label(team.name) or "" for team in controller.shared.teams}
+        decisions = self.allotment.decide(self._lent(), pictures, now)
+        for decision in decisions + self.allotment.balance(owners, controller.fit_members(), pictures, now):
             match decision:
                 case Rent():
                     self._spawn(self._rent(decision))
@@ -87,6 +89,9 @@
                 case Recalled():
                     log.info("team %s is to give %s to %s", decision.part, ",".join(decision.machines), decision.to)
                     controller.to_owner(decision.part, decision)
+                case GivePart(part, to):
+                    log.info("part %s is to go to controller %s", part, to)
+                    controller.to_owner(part, Give(part, to))
                 case Release(machines):
                     for name in machines:
                         self._spawn(self._mark(name, "returned"))
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -38,6 +38,7 @@
         self.part: Part | None = None
         self.wake = asyncio.Event()
         self.ready = asyncio.Event()
+        self.give_to: str | None = None  # the leader wants another controller to have the part
         self.early: list[Callable[[Part], None]] = []  # changes seen while the part was being read
         self.sends: set[asyncio.Task[None]] = set()
         self.task = asyncio.create_task(self._run())
@@ -142,6 +143,9 @@
     async def _turn(self) -> None:
         part = self.part
         assert part
+        if self.give_to is not None:
+            await self._give(part, self.give_to)
+            return
         now = self.controller.now()
         part.tick(now)
         if self.controller.state_fresh():
@@ -152,6 +156,21 @@
         await self._commit(part)
         self._send_urgent(part)
 
+    async def _give(self, part: Part, to: str) -> None:
+        """Name the next owner in the part's key, between two of our own transactions. It claims on seeing that."""
+        self.give_to = None
+        if to not in self.controller.fit_members() or any(machine.sending for machine in part.machines.values()):
+            return
+        path = f"part/{part.name}"
+        value = {"owner": to}
+        try:
+            stamp = await self.controller.state.txn({path: part.stamp}, {path: value})
+        except Unavailable:
+            # It may yet be applied. Until we know, the fence tells: our next write fails if it was.
+            return
+        self.controller.parts.wrote(path, value, stamp)
+        self.lost(f"given to {to}")
+
     async def _commit(self, part: Part) -> None:
         state = self.controller.state
         for _ in range(16):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ashdock.core import park as parking
-from ashdock.core.allotment import Allotment, Lent, Move, Release, Rent
+from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
 from ashdock.core.part import Busy, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
@@ -287,3 +287,26 @@
         decisions = allotment.decide(machines, pictures, 60.0)
     assert [type(decision) for decision in decisions] == kinds
     assert allotment.decide([], {"red": pictures["red"]}, 100.0) == [], "nothing is decided while an owner is unheard of"
+
+
+BALANCE = [  # owner of red and blue, their waiting tasks, alive -> the part that moves
+    (("n0", "n0"), (5, 5), ["n0", "n1"], ["blue"]), (("n0", "n1"), (50, 5), ["n0", "n1"], []), (("n0", "n0"), (5, 5), ["n0"], []),
+    (("n0", "n9"), (5, 5), ["n0", "n1"], []), (("n0", "n0"), (100, 1), ["n0", "n1"], []), (("n0", "n0"), (9, 5), ["n0", "n1"], ["blue"]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("owners", "waiting", "alive", "moved"), BALANCE)
+def test_parts_go_where_the_work_is_least(owners: Any, waiting: Any, alive: list[str], moved: list[str]) -> None:
+    allotment = Allotment(shared(), Renting(), {"g4": G4})
+    pictures = {team: Picture(team, 9, [], [], [], 0, n, 0) for team, n in zip(("red", "blue"), waiting, strict=True)}
+    decisions = allotment.balance(dict(zip(("red", "blue"), owners, strict=True)), alive, pictures, 0.0)
+    assert [decision.part for decision in decisions if isinstance(decision, GivePart)] == moved
+    assert not moved or allotment.balance({"red": "n0", "blue": "n0"}, alive, pictures, 1.0) == []
+
+
+def test_estimates_are_corrected_by_what_tasks_took() -> None:
+    part = part_with([spec(shares=1, expect_s=10.0)], "a")
+    started(part)
+    part.on_report(report("vm-0", 4, [("req-000001/0", 1, "running", None)]), 10.0, True)
+    part.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", "done")]), 30.0, True)
+    assert 10.0 < part.run_s(spec(expect_s=10.0)) <= 20.0
