--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -600,7 +600,7 @@
 
     @property
     def silent_s(self) -> float:
-        return 1.25 * self.workers.lease_s + self.workers.report_s
+        return 1.1 * self.workers.lease_s + self.workers.report_s
 
     def _end_cancelled(self, job: Job, now: float) -> None:
         """Tasks of a cancelled job must be gone in time, even where nobody can reach their machine."""
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -19,6 +19,17 @@
 log = logging.getLogger("ashdock.leader")
 
 
+def gone_from(listed: dict[str, float], names: list[str], now: float, sure_s: float) -> list[str]:
+    """Machines that a list lacks though they have been listed for so long that even an old list would hold them."""
+    there = set(names)
+    for name in names:
+        listed.setdefault(name, now)
+    gone = [name for name, since in listed.items() if name not in there and now - since > sure_s]
+    for name in gone:
+        del listed[name]
+    return gone
+
+
 class Leader:
     """Lives as long as our hold on the key `leader`."""
 
@@ -29,6 +40,7 @@
         self.strays: dict[str, Report] = {}  # reported and not recorded
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
+        self.listed: dict[str, float] = {}  # machine: when the cloud first listed it
         self.over = False
         self.jobs: set[asyncio.Task[None]] = set()
         self.tasks = [asyncio.create_task(self._guard(loop)) for loop in (self._finish_charters, self._choose, self._clean, self._look)]
@@ -244,7 +256,14 @@
         controller = self.controller
         now = controller.now()
         lag = controller.shared.cloud.list_lag_s
-        for host in await controller.cloud.hosts():
+        hosts = await controller.cloud.hosts()
+        for name in gone_from(self.listed, [host.id for host in hosts], now, 3 * lag):
+            # Taken without notice. Its release is the proof; without it, its tasks would wait out its silence.
+            entry = self._entry(name)
+            if entry and not entry.value.get("x"):
+                log.info("machine %s is not listed any more", name)
+                await self._mark(name, "not listed any more")
+        for host in hosts:
             entry = self._entry(host.id)
             if host.status == "failed":
                 if entry and not entry.value.get("x"):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,6 +13,7 @@
 from ashdock.core.part import Busy, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
+from ashdock.leader import gone_from
 from ashdock.settings import Operators, Renting, Retry, Team
 from ashdock.wire.messages import Held, MachineType, Report, decode_run, encode, spec_of
 from tests.whole import job as run_of
@@ -310,3 +311,17 @@
     part.on_report(report("vm-0", 4, [("req-000001/0", 1, "running", None)]), 10.0, True)
     part.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", "done")]), 30.0, True)
     assert 10.0 < part.run_s(spec(expect_s=10.0)) <= 20.0
+
+
+LISTS = [  # (time, names listed) in turn -> what the last one shows to be gone
+    ([(0, "ab"), (20, "b")], ["a"]), ([(0, "ab"), (5, "b")], []), ([(0, "ab"), (5, "b"), (20, "ab")], []),
+    ([(0, "ab"), (20, "b"), (24, "b")], []), ([(0, ""), (20, "a"), (24, "")], []),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("lists", "gone"), LISTS)
+def test_what_the_lists_show(lists: list[tuple[float, str]], gone: list[str]) -> None:
+    listed: dict[str, float] = {}
+    for now, names in lists:
+        last = gone_from(listed, list(names), now, 12.0)
+    assert last == gone
