--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -48,6 +48,10 @@
             return Answer(200, b"{}") if self.controller.ready() else error(503, "not ready", 1)
         if path == "/v2/runs":
             return await self.submit(request.body) if request.method == "POST" else error(405, "POST only")
+        if path == "/metrics":
+            from ashdock.net import metrics
+
+            return Answer(200, metrics.page(self.controller), content_type=metrics.CONTENT_TYPE)
         match = JOB.match(path)
         if match is None:
             return error(404, "no such page")
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -254,6 +254,9 @@
         ]:  # fmt: skip
             status, _ = await client.request(method, target, b"", 2.0)
             assert status == expected, target
+        pages = [(await Client(f"10.0.0.{n}", 8080, keep=0).request("GET", "/metrics", b"", 2.0))[1].decode() for n in range(3)]
+        assert 'ashdock_tasks{state="ready",team="red"}' in "".join(pages)
+        assert sum(page.count("ashdock_leads 1.0") for page in pages) == 1
         await service.until_final(["req-000001"], 120)
 
     play(monkeypatch, 2, day)
