--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -25,6 +25,7 @@
 log = logging.getLogger("ashdock.front")
 
 JOB = re.compile(r"^/v2/runs/([0-9A-Za-z_.-]{1,120})(/withdraw)?$")
+PATIENCE_S = 0.5  # a submission that would wait longer for its turn to be written is sent away instead
 FINALS = 20_000  # final answers kept at hand; the rest are read again
 
 
@@ -75,6 +76,10 @@
             return error(503, "the machine types are not known yet", 1)
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
+        behind = controller.state.writes.behind_s
+        if behind > PATIENCE_S:
+            # More than the state service lets us write: said at once, since the user would only wait here for nothing.
+            return error(429, "too many submissions at once", 1 + int(behind))
         never = self.never(spec)
         if never:
             # A job that was accepted is never refused afterwards, whatever its later copies say.
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -14,6 +14,7 @@
         self.most = max(1.0, per_s * burst_s)
         self.reserve = reserve
         self.left = self.most
+        self.queued = 0.0  # asked for and not yet granted
         self.at = time.monotonic()
 
     def _refill(self) -> None:
@@ -32,5 +33,14 @@
         return max((need - self.left) / self.per_s, 0.001)
 
     async def wait(self, amount: float = 1.0, urgent: bool = True) -> None:
-        while (pause := self.take(amount, urgent)) > 0:
-            await asyncio.sleep(pause)
+        self.queued += amount
+        try:
+            while (pause := self.take(amount, urgent)) > 0:
+                await asyncio.sleep(pause)
+        finally:
+            self.queued -= amount
+
+    @property
+    def behind_s(self) -> float:
+        """How long what is queued will take."""
+        return max(0.0, (self.queued - self.left) / self.per_s)
--- a/tests/simtime.py
+++ b/tests/simtime.py
@@ -73,7 +73,7 @@
         other = self.other
         assert other
         # In order, and held back while the network between the two is cut.
-        at = max(self.last, loop.time() + self.net.delay(self.here, self.there))
+        at = max(self.last + 1e-6, loop.time() + self.net.delay(self.here, self.there))
         self.last = at
 
         def arrive() -> None:
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -277,3 +277,25 @@
         assert await service.until_final(["req-000001"], 60) == []
 
     play(monkeypatch, 4, day)
+
+
+def test_a_flood_is_refused_at_once_and_taken_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def day(service: Service) -> None:
+        await asyncio.sleep(3)
+        runs = [job(n, shares=1, expect_s=1.0) for n in range(1, 301)]
+        for run in runs:
+            service.rules.submitted(run)
+        client = Client("10.0.0.1", 8080, keep=0)
+
+        async def one(run: dict[str, Any]) -> tuple[int, float]:
+            before = service.now()
+            status, _ = await client.request("POST", "/v2/runs", json.dumps(run).encode(), 5.0)
+            return status, service.now() - before
+
+        answers = await asyncio.gather(*(one(run) for run in runs))
+        assert {status for status, _ in answers} <= {201, 429, 503} and 429 in {status for status, _ in answers}
+        assert max(took for _, took in answers) < 1.0
+        statuses = await asyncio.gather(*(service.submit(run) for run in runs[:120]))
+        assert all(status in (200, 201) for status in statuses)
+
+    play(monkeypatch, 12, day)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -201,6 +201,8 @@
         await asyncio.sleep(0.1)
         reader, _ = await net.open_connection("10.0.0.1", 80)
         assert b"503" in (first := await asyncio.wait_for(reader.read(4096), 1)) and b"Retry-After" in first
+        status, _ = await Client("10.0.0.1", 80).request("POST", "/", b"x" * 100, 1.0)
+        assert status == 503
         await asyncio.sleep(10)
         status, _ = await Client("10.0.0.1", 80).request("GET", "/", b"", 1.0)
         assert status == 200 and silent
