--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -65,6 +65,7 @@
         self.catalog = catalog
         self.now = 0.0
         self.moved_part_at = -1e9
+        self.alive: list[str] = []
         self.refused: dict[tuple[str, str, bool], tuple[float, float]] = {}  # until when, and the last pause
         self.coming: dict[str, tuple[str, float]] = {}  # machine: team it was lent to, and when
         self.renting_now: list[Rent] = []
@@ -338,6 +339,8 @@
             if label not in held or team not in load:
                 return []  # somebody is ended or cut off: takeovers come first
             held[label] += load[team]
+        if alive != self.alive:
+            self.alive, self.moved_part_at = alive, now  # somebody came or went: let that settle
         if now - self.moved_part_at < 2 * self.shared.workers.lease_s or len(held) < 2:
             return []
         most = max(sorted(held), key=lambda label: held[label])
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -122,6 +122,10 @@
     def usable(self) -> bool:
         return self.phase is MachinePhase.UP and self.recall_at is None
 
+    def coming(self, now: float) -> bool:
+        """Whether work may wait for it to boot. One that is late beyond the usual is not waited for."""
+        return self.phase is MachinePhase.EXPECTED and now - max(self.rented, self.since - self.shape.boot_s) < 1.6 * self.shape.boot_s
+
     @property
     def empty(self) -> bool:
         """Nothing counts here, and nothing is left that its owner would still have to settle."""
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -584,8 +584,9 @@
             if machine.phase is MachinePhase.DOOMED:
                 continue
             if machine.phase is MachinePhase.EXPECTED:
-                # Some machines never come up, and are charged all the same.
-                if now - max(machine.since, machine.rented) > 4 * machine.shape.boot_s + self.silent_s:
+                # Some machines never come up, and are charged all the same. Counted from the rental: counted from
+                # when we came to know of it, each takeover kept such a machine for as long again.
+                if now - machine.rented > 2.5 * machine.shape.boot_s and now - machine.since > self.silent_s:
                     self._doom(machine, "never came up")
             elif machine.recall_at is not None and now > machine.recall_at and machine.silent_for(now) > gap:
                 self._doom(machine, "taken back")
@@ -664,7 +665,7 @@
             missing = self._try_place(job, now)
             zone = ""
             if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
-                zone, kept = self._keep_for_gang(job)
+                zone, kept = self._keep_for_gang(job, now)
                 missing -= kept
             if now - job.preempted_at < self.workers.lease_s / 2:
                 missing -= job.cleared  # room is being made already
@@ -735,7 +736,7 @@
         lost += max(0.0, 30.0 - ran)  # what is stopped this soon has not counted as started
         return lost * (spec.gpus or spec.cpus) * (spec.tasks if spec.kind == "gang" else 1)
 
-    def _keep_for_gang(self, job: Job) -> tuple[str, int]:
+    def _keep_for_gang(self, job: Job, now: float) -> tuple[str, int]:
         """The zone where a gang that finds no room is best completed ("" if any will do), and how many of
         its tasks the machines kept for it there would take. Without this, lesser work and other teams
         would take each machine before the last one is there."""
@@ -749,7 +750,8 @@
             if machine.usable and (room := machine.fits(spec.cpus, spec.gpus, spec.memory_gb)):
                 rooms.setdefault(zone, []).append((machine, room))
             elif machine.phase is MachinePhase.EXPECTED:
-                boots[zone] = boots.get(zone, 0) + capacity(machine.shape, spec.cpus, spec.gpus, spec.memory_gb)
+                if machine.coming(now):
+                    boots[zone] = boots.get(zone, 0) + capacity(machine.shape, spec.cpus, spec.gpus, spec.memory_gb)
 
         def promise(zone: str) -> int:
             return sum(room for _, room in rooms.get(zone, ())) + boots.get(zone, 0)
@@ -771,7 +773,7 @@
         coming: list[list[Any]] = [
             [m, m.shape.cpus, m.shape.accelerators, m.shape.ram_gb]
             for m in self.machines.values()
-            if m.phase is MachinePhase.EXPECTED
+            if m.coming(now)
         ]  # fmt: skip
         cpus, gpus = self.usage.cpus, self.usage.gpus
         out: list[Want] = []
