A later session proves gone only what this owner ordered or saw in an earlier one

Cause (found in review): an heir that first got a late report of the session before, or the session noted when a machine was lent, took a task started since by the earlier owner for gone, and could have started it twice. The table of cases fails without the change.

--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -354,10 +354,12 @@
     def _session_over(self, machine: Machine, report: Report, now: float) -> None:
         """The worker's lease ended: it killed and forgot all that it had."""
         log.info("machine %s is in session %d: its tasks are gone", machine.name, report.tenure)
+        # Only what we ordered or saw in an earlier session. What an earlier owner started may be of this one, though
+        # the first report that we got was a late one of the session before.
         machine.ended.clear()
         machine.outstanding.clear()  # they name the old session
         for placement in list(machine.live.values()):
-            if placement.phase >= Phase.ORDERED and placement.key in machine.live:
+            if placement.tenure is not None and placement.tenure < report.tenure and placement.key in machine.live:
                 self._lost(placement, "worker lost its controllers", now)
 
     def _match(self, machine: Machine, report: Report, now: float, proof: bool) -> None:
@@ -380,7 +382,7 @@
                 ended.add(key)
                 self._ended(machine, placement, found, now)
             else:
-                placement.held(found.status, now)
+                placement.held(found.status, report.tenure, now)
                 if found.status != "pulling":
                     machine.images[self.jobs[placement.job].spec.image] = now
         strange: dict[tuple[str, int], int] = {}
@@ -493,7 +495,7 @@
         for order in out:
             placement = machine.live.get(split_task(order.share))
             if order.verb == RUN and placement:
-                placement.sent_directly()
+                placement.sent_directly(machine.tenure)
                 machine.outstanding[(*placement.key, placement.attempt)] = token
         return out
 
--- a/ashdock/core/task.py
+++ b/ashdock/core/task.py
@@ -36,22 +36,8 @@
 
 class Placement:
     __slots__ = (
-        "attempt",
-        "gen",
-        "held_at",
-        "job",
-        "leeway",
-        "machine",
-        "ordered",
-        "phase",
-        "placed_at",
-        "recalled",
-        "running_at",
-        "seen",
-        "status",
-        "stop_at",
-        "task",
-        "why",
+        "attempt", "gen", "held_at", "job", "leeway", "machine", "ordered", "phase", "placed_at", "recalled", "running_at",
+        "seen", "status", "stop_at", "task", "tenure", "why",
     )  # fmt: skip
 
     def __init__(self, job: str, task: int, attempt: int, machine: str, gen: int, now: float) -> None:
@@ -64,6 +50,7 @@
         self.phase = Phase.INTENDED
         self.ordered: tuple[int, int] | None = None  # tenure and tally of the report whose answer carried the start
         self.seen = False
+        self.tenure: int | None = None  # the worker's session in which we last ordered or saw it
         self.status = ""
         self.held_at: float | None = None  # image held since
         self.running_at: float | None = None
@@ -88,12 +75,15 @@
         if self.phase is Phase.COMMITTED:
             self.phase = Phase.ORDERED
         self.ordered = (tenure, tally)
+        self.tenure = tenure
 
-    def sent_directly(self) -> None:
+    def sent_directly(self, tenure: int) -> None:
+        self.tenure = tenure
         if self.phase is Phase.COMMITTED:
             self.phase = Phase.ORDERED
 
-    def held(self, status: str, now: float) -> None:
+    def held(self, status: str, tenure: int, now: float) -> None:
+        self.tenure = tenure
         self.seen = True
         self.status = status
         if status != "pulling" and self.held_at is None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -340,3 +340,25 @@
     assert heir.machines["vm-9"].why == ""  # it may be up: silence since the takeover has to show
     heir.tick(14.0 + heir.silent_s + 1)
     assert heir.machines["vm-9"].why == "never came up"
+
+
+INHERITED = [  # (tenure, tally, token, is it listed) of the reports the heir gets -> does the placement count
+    ([(1, 9, 10, False), (2, 3, 10, True)], True), ([(2, 3, 10, False)], True), ([(1, 9, 10, False), (2, 3, 10, False)], True),
+    ([(2, 3, 50, False)], False), ([(2, 3, 50, True), (3, 1, 50, False)], False),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("reports", "counts"), INHERITED)
+def test_a_session_proves_nothing_of_what_was_inherited(reports: list[tuple[int, int, int, bool]], counts: bool) -> None:
+    """A late report of the session before, or the session noted when the machine was lent, must not make a task
+    that an earlier owner started in this session look gone."""
+    record = {"t": "g4", "z": "a", "s": False, "p": "red", "a": "10.1.0.1:9000", "n": 1}
+    one = {"spec": __import__("msgspec").to_builtins(spec(shares=1)), "at": 0.0, "status": "queued"}
+    heir = part_with([], "", stamp=50)
+    work = [("work/red/req-000001/job", one, 7), ("work/red/req-000001/0", {"a": 1, "p": [[0, "vm-0", 1]]}, 20)]
+    heir.load([("vm-0", record, 5)], work, [], 5.0)
+    heir.preempt(heir.jobs["req-000001"], [0], "test", 5.0)
+    for tenure, tally, token, listed in reports:
+        tasks: list[tuple[str, int, str, str | None]] = [("req-000001/0", 1, "running", None)] if listed else []
+        heir.on_report(report("vm-0", tally, tasks, warrant=token, tenure=tenure), 6.0, True)
+    assert (0 in heir.jobs["req-000001"].live) is counts
