Jobs accepted while the watch had fallen behind are found: parts are read again; no part is read before the watch begins

Cause (found in review): after a 410 the watch of jobs began anew at the present, and what was accepted in between was only found at the next takeover. The test fails without the change.

--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -75,6 +75,7 @@
     async def run(self) -> None:
         self.machines.on_change(self._machine_changed)
         self.jobs.on_change(self.jobs_seen)
+        self.jobs.on_gap = self._missed_jobs
         await self.server.start(*address(self.settings.bind, "bind"))
         await self.mesh.start(*address(self.settings.mesh_addr, "mesh_addr"))
         log.info("controller %s in %s listens on %s", self.label, self.settings.area, self.settings.bind)
@@ -250,7 +251,9 @@
         return entry.value["owner"] if entry else None
 
     async def _ownership(self) -> float:
-        if not (self.parts.ready.is_set() and self.members.ready.is_set() and self.machines.ready.is_set() and self.catalog):
+        # The jobs too: a part read before their watch has begun would miss what is accepted in between.
+        replicas = (self.parts, self.members, self.machines, self.jobs)
+        if not (self.catalog and all(replica.ready.is_set() for replica in replicas)):
             return self.tick_s / 4
         if self.hold is None or time.monotonic() > self.hold_until:
             return self.tick_s
@@ -290,6 +293,11 @@
             elif value["p"] == owner.team.name:
                 owner.note(lambda part: part.add_machine(name, value, stamp, self.now()))
 
+    def _missed_jobs(self) -> None:
+        """Jobs may have been accepted that we were not told of: our parts are claimed and read again."""
+        for owner in list(self.owners.values()):
+            owner.lost("changes to jobs were missed")
+
     def jobs_seen(self, path: str, value: Any, stamp: int) -> None:
         """`job/<id>` changed: new, withdrawn, done, or with a reason."""
         if value is None:
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -279,6 +279,8 @@
             if answer is not None and answer.status == 200:
                 if since is None:
                     log.info("passing on the reports of %s to %s", report.berth, label)
+                    if len(self.relaying) > 5000:
+                        self.relaying.clear()
                     self.relaying[report.berth] = now
                 return Answer(200, answer.body)
         self.relaying.pop(report.berth, None)
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -231,6 +231,7 @@
         self.ledger = 0
         self.ready = asyncio.Event()
         self.news: list[Any] = []  # called with (path, value or None, stamp)
+        self.on_gap: Any = None  # called when changes were missed that nothing here can make up for
 
     def on_change(self, call: Any) -> None:
         self.news.append(call)
@@ -267,6 +268,8 @@
                 pause = 0.05
             except Expired:
                 self.ready.clear()
+                if self.on_gap:
+                    self.on_gap()
             except Unavailable:
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, 1.0)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -32,6 +32,7 @@
         self.apply_late = 0.0  # share of transactions applied only seconds later, unanswered
         self.rng = random.Random(net.rng.random())
         self.wake = asyncio.Condition()
+        self.blind = False  # watches of jobs see nothing, and then have fallen too far behind
         self.hook: Any = None  # called with each transaction's writes before they are applied
 
     async def start(self) -> None:
@@ -130,6 +131,10 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + int(words.get("hold_ms", 0)) / 1000
         after = int(words["from"])
+        while self.blind and words["under"] == "job/":
+            await asyncio.sleep(0.1)
+            if not self.blind:
+                return reply(410, {})
         while True:
             news = [c for c in self.changes if c["stamp"] > after and (c.get("set") or c["delete"]).startswith(words["under"])]
             if (news and not self.down) or loop.time() >= until:
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -299,3 +299,18 @@
         assert all(status in (200, 201) for status in statuses)
 
     play(monkeypatch, 12, day)
+
+
+def test_jobs_accepted_while_a_watch_fell_behind_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def day(service: Service) -> None:
+        await asyncio.sleep(3)
+        await service.submit(job(1, shares=1))  # ends the watches under way
+        service.state.blind = True
+        await asyncio.sleep(0.5)
+        runs = [job(n, shares=1, owner=owner) for n, owner in enumerate(["red", "blue"] * 4, 10)]
+        await asyncio.gather(*(service.submit(run) for run in runs))
+        await asyncio.sleep(2)
+        service.state.blind = False
+        assert await service.until_final([run["id"] for run in runs], 120) == []
+
+    play(monkeypatch, 13, day)
