--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ashdock.core.machine import capacity
+from ashdock.core.machine import capacity, fits, less
 from ashdock.core.part import Busy, Picture, Recalled, Want
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
@@ -202,18 +202,18 @@
     def _use_virtual(self, rooms: list[list], want: Want) -> int:  # type: ignore[type-arg]
         left = want.tasks
         for room in rooms:
-            shape, zone, spot, cpus, gpus, memory = room
+            shape, zone, spot, *free = room
             if not self._suits(want, shape.label, zone, spot):
                 continue
-            while left > 0 and cpus + 1e-6 >= want.cpus and gpus + 1e-6 >= want.gpus and memory + 1e-6 >= want.memory:
-                cpus, gpus, memory = cpus - want.cpus, gpus - want.gpus, memory - want.memory
-                left -= 1
-            room[3:] = [cpus, gpus, memory]
+            need = (want.cpus, want.gpus, want.memory)
+            taken = min(max(left, 0), fits(free, need))
+            left -= taken
+            room[3:] = less(free, need, taken)
         return left
 
     @staticmethod
     def _rest(shape: MachineType, want: Want, tasks: int) -> list[float]:
-        return [shape.cpus - want.cpus * tasks, shape.accelerators - want.gpus * tasks, shape.ram_gb - want.memory * tasks]
+        return less((shape.cpus, shape.accelerators, shape.ram_gb), (want.cpus, want.gpus, want.memory), tasks)
 
     @staticmethod
     def _suits(want: Want, kind: str, zone: str, spot: bool) -> bool:
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -59,7 +59,6 @@
         self.breaking: str | None = None  # gang: why its attempt is being taken down
         self.broke: Failure | None = None  # gang: a failure of its own seen in this attempt
         self.avoid: dict[str, float] = {}  # machine: until when this job had better not go there
-        self.first_start: float | None = None
         self.preempted_at = -math.inf  # when work of its team was last stopped for it
         self.cleared = 0  # and on how many machines
 
@@ -164,9 +163,6 @@
     def running(self) -> int:
         return sum(1 for placement in self.live.values() if placement.status == "running")
 
-    def durable(self, task: int, gen: int) -> bool:
-        return self.chunk_of(task).durable >= gen
-
     # -- the state service's form ----------------------------------------------------------
 
     def path(self, n: int) -> str:
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import Enum
 from typing import Any
 
@@ -37,7 +38,6 @@
         self.last_at: float | None = None
         self.tenure = 0
         self.tally = 0
-        self.checkin_tally = 0
         self.warrant = 0
         self.idle_since: float | None = now
         self.images: dict[str, float] = dict.fromkeys(value.get("i", ()), 0.0)  # seen here, and when last
@@ -82,12 +82,6 @@
             self.phase = MachinePhase.LEAVING
             self.why = why
 
-    def stay(self) -> None:
-        if self.phase is MachinePhase.LEAVING:
-            self.phase = MachinePhase.UP
-            self.why = ""
-            self.to = None
-
     def doom(self, why: str) -> None:
         if self.phase is not MachinePhase.DOOMED:
             self.phase = MachinePhase.DOOMED
@@ -112,11 +106,7 @@
 
     def fits(self, cpus: float, gpus: float, memory: float) -> int:
         """How many such tasks the free room takes."""
-        most = 1 << 30
-        for need, free in ((cpus, self.cpus), (gpus, self.gpus), (memory, self.memory)):
-            if need > 0:
-                most = min(most, int((free + 1e-6) / need))
-        return max(most, 0)
+        return fits((self.cpus, self.gpus, self.memory), (cpus, gpus, memory))
 
     @property
     def usable(self) -> bool:
@@ -135,10 +125,20 @@
         return now - (self.last_at if self.last_at is not None else self.since)
 
 
-def capacity(shape: MachineType, cpus: float, gpus: float, memory: float) -> int:
-    """How many such tasks a whole empty machine takes."""
+def fits(free: Sequence[float], need: Sequence[float]) -> int:
+    """How many times a need (of CPUs, GPUs and memory) goes into what is free."""
     most = 1 << 30
-    for need, free in ((cpus, shape.cpus), (gpus, shape.accelerators), (memory, shape.ram_gb)):
-        if need > 0:
-            most = min(most, int((free + 1e-6) / need))
+    for wanted, there in zip(need, free, strict=True):
+        if wanted > 0:
+            most = min(most, int((there + 1e-6) / wanted))
     return max(most, 0)
+
+
+def less(free: Sequence[float], need: Sequence[float], times: int) -> list[float]:
+    """What is left of it after so many."""
+    return [there - wanted * times for there, wanted in zip(free, need, strict=True)]
+
+
+def capacity(shape: MachineType, cpus: float, gpus: float, memory: float) -> int:
+    """How many such tasks a whole empty machine takes."""
+    return fits((shape.cpus, shape.accelerators, shape.ram_gb), (cpus, gpus, memory))
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -17,7 +17,7 @@
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
 from ashdock.core.job import Job, JobPhase, chunk_size
-from ashdock.core.machine import Machine, MachinePhase, capacity
+from ashdock.core.machine import Machine, MachinePhase, capacity, fits, less
 from ashdock.core.quota import Usage, guaranteed
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.settings import Operators, Shared, Team
@@ -119,7 +119,6 @@
         self.reserved: set[str] = set()  # empty machines kept for a gang that lacks others
         self.seen = stamp
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
-        self.finished: list[tuple[Job, float]] = []
 
     # -- taking over --------------------------------------------------------------------------
 
@@ -243,7 +242,6 @@
             job.finish(task)
         if job.complete and job.active:
             job.phase = JobPhase.OVER
-            self.finished.append((job, now))
 
     def _stop(self, placement: Placement, why: str, leeway: float, now: float) -> None:
         if placement.never_sent:
@@ -698,7 +696,7 @@
         if now - job.preempted_at < self.workers.lease_s:
             return
         spec = job.spec
-        victims: list[tuple[float, Machine, set[str]]] = []
+        victims: list[tuple[float, Machine]] = []
         for machine in self.machines.values():
             if not machine.usable or not placing.permits(spec, machine.type, machine.zone, machine.spot):
                 continue
@@ -713,14 +711,14 @@
             if cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory_gb:
                 continue
             loss = sum(self._loss(p, now) for p in lower) + placing.fetch_s(spec, machine)
-            victims.append((loss, machine, {p.job for p in lower}))
+            victims.append((loss, machine))
         if spec.one_zone and spec.tasks > 1 and not zone:
             by_zone = [victim[1].zone for victim in victims]
             best = max(sorted(set(by_zone)), key=by_zone.count, default="")
             victims = [victim for victim in victims if victim[1].zone == best]
         victims.sort(key=lambda victim: (victim[0], victim[1].name))
         job.cleared = len(victims[:missing])
-        for _, machine, _ in victims[:missing]:
+        for _, machine in victims[:missing]:
             job.preempted_at = now
             log.info("job %s takes the place of lower work on %s", job.id, machine.name)
             for placement in list(machine.live.values()):
@@ -751,9 +749,8 @@
                 continue
             if machine.usable and (room := machine.fits(spec.cpus, spec.gpus, spec.memory_gb)):
                 rooms.setdefault(zone, []).append((machine, room))
-            elif machine.phase is MachinePhase.EXPECTED:
-                if machine.coming(now):
-                    boots[zone] = boots.get(zone, 0) + capacity(machine.shape, spec.cpus, spec.gpus, spec.memory_gb)
+            elif machine.coming(now):
+                boots[zone] = boots.get(zone, 0) + capacity(machine.shape, spec.cpus, spec.gpus, spec.memory_gb)
 
         def promise(zone: str) -> int:
             return sum(room for _, room in rooms.get(zone, ())) + boots.get(zone, 0)
@@ -784,18 +781,13 @@
             cpus += spec.cpus * missing
             gpus += spec.gpus * missing
             for slot in coming:
-                machine, free_cpus, free_gpus, free_memory = slot
+                machine, *free = slot
                 if not placing.permits(spec, machine.type, machine.zone, machine.spot) or zone not in ("", machine.zone):
                     continue
-                while (
-                    missing > 0 and free_cpus + 1e-6 >= spec.cpus
-                    and free_gpus + 1e-6 >= spec.gpus and free_memory + 1e-6 >= spec.memory_gb
-                ):  # fmt: skip
-                    free_cpus -= spec.cpus
-                    free_gpus -= spec.gpus
-                    free_memory -= spec.memory_gb
-                    missing -= 1
-                slot[1:] = [free_cpus, free_gpus, free_memory]
+                need = (spec.cpus, spec.gpus, spec.memory_gb)
+                taken = min(max(missing, 0), fits(free, need))
+                missing -= taken
+                slot[1:] = less(free, need, taken)
             if missing > 0:
                 out.append(
                     Want(
@@ -947,9 +939,8 @@
         chunk.durable = max(chunk.durable, gen)
         for placement in job.live.values():
             if placement.phase is Phase.INTENDED and placement.gen <= gen and job.chunk_of(placement.task) is chunk:
-                if placement.phase is Phase.INTENDED:
-                    placement.committed()
-                    self.urgent[placement.machine] = None
+                placement.committed()
+                self.urgent[placement.machine] = None
 
     def _reason_durable(self, job: Job, gen: int, revision: int) -> None:
         job.reason_durable = gen
--- a/ashdock/core/task.py
+++ b/ashdock/core/task.py
@@ -37,7 +37,7 @@
 class Placement:
     __slots__ = (
         "attempt", "gen", "held_at", "job", "leeway", "machine", "ordered", "phase", "placed_at", "recalled", "running_at",
-        "seen", "status", "stop_at", "task", "tenure", "why",
+        "seen", "status", "task", "tenure", "why",
     )  # fmt: skip
 
     def __init__(self, job: str, task: int, attempt: int, machine: str, gen: int, now: float) -> None:
@@ -54,7 +54,6 @@
         self.status = ""
         self.held_at: float | None = None  # image held since
         self.running_at: float | None = None
-        self.stop_at: float | None = None
         self.leeway = 0.0
         self.why = ""
         self.recalled = False
@@ -101,7 +100,6 @@
         self.phase = Phase.STOPPING
         self.why = why
         self.leeway = leeway
-        self.stop_at = now
 
     @property
     def never_sent(self) -> bool:
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -199,13 +199,10 @@
         return await asyncio.shield(future)
 
     async def _read_now(self, job_id: str) -> Entry | None:
-        try:
-            # Only readers who come before the request is sent share it: an answer on its way may be too old.
-            await asyncio.sleep(0)
-            self.reads.pop(job_id, None)
-            return await self.controller.state.get(f"job/{job_id}")
-        finally:
-            self.reads.pop(job_id, None)
+        # Only readers who come before the request is sent share it: an answer on its way may be too old.
+        await asyncio.sleep(0)
+        self.reads.pop(job_id, None)
+        return await self.controller.state.get(f"job/{job_id}")
 
     def saw(self, job_id: str, value: dict[str, Any]) -> None:
         if value["status"] in ("done", "withdrawn"):
