--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -9,8 +9,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ashdock.core.machine import capacity, fits, less
+from ashdock.core.machine import capacity, less
 from ashdock.core.part import Busy, Picture, Recalled, Want
+from ashdock.core.placement import Slots
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
 
@@ -72,6 +73,7 @@
         self.recalling: dict[str, tuple[str, float]] = {}  # machine asked of its part: for which team, and when
         self.pool_since: dict[str, float] = {}
         self.sent_back: set[str] = set()  # to the pool, since nobody wanted them
+        self.barren: set[tuple] = set()  # type: ignore[type-arg]  # kinds of want for which this round has nothing left
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
         self.settle_s = shared.workers.lease_s / 2
@@ -136,6 +138,7 @@
         rents: dict[tuple[str, str, str, bool], int] = {}
         spare = {picture.team: picture.spare_beyond for picture in pictures.values()}
         total = len(lent) + sum(rent.number for rent in self.renting_now)
+        self.barren = set()
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             if want.together and left > 0 and (want.whole or not want.zone):
@@ -163,7 +166,7 @@
                 total += 1
                 left -= per
                 if left < 0:
-                    on_the_way.setdefault(team, []).append([shape, zone, spot, *self._rest(shape, want, per + left)])
+                    on_the_way.setdefault(team, Slots()).add_rest(shape.label, zone, spot, self._rest(shape, want, per + left))
         out += [Rent(team, kind, zone, spot, min(count, 50)) for (team, kind, zone, spot), count in rents.items()]
         self.renting_now += [decision for decision in out if isinstance(decision, Rent)]
         out += self._returns(pool, idle, wants, now)
@@ -183,33 +186,24 @@
             if seen or now - since > self.settle_s:
                 del self.coming[name]
 
-    def _virtual(self, lent: dict[str, Lent]) -> dict[str, list[list]]:  # type: ignore[type-arg]
-        """Machines lent or asked for that their part's picture does not hold yet: type, zone, kind and room."""
-        out: dict[str, list[list]] = {}  # type: ignore[type-arg]
+    def _virtual(self, lent: dict[str, Lent]) -> dict[str, Slots]:
+        """Machines lent or asked for that their part's picture does not hold yet."""
+        out: dict[str, Slots] = {}
         for name, (team, _) in [*self.coming.items(), *self.recalling.items()]:
             machine = lent.get(name)
             if machine and machine.type in self.catalog:
-                shape = self.catalog[machine.type]
-                room = [shape, machine.zone, machine.spot, shape.cpus, shape.accelerators, shape.ram_gb]
-                out.setdefault(team, []).append(room)
+                out.setdefault(team, Slots()).add(self.catalog[machine.type], machine.zone, machine.spot)
         for rent in self.renting_now:
-            shape = self.catalog[rent.type]
-            for _ in range(rent.number):
-                room = [shape, rent.zone, rent.spot, shape.cpus, shape.accelerators, shape.ram_gb]
-                out.setdefault(rent.team, []).append(room)
+            out.setdefault(rent.team, Slots()).add(self.catalog[rent.type], rent.zone, rent.spot, rent.number)
         return out
 
-    def _use_virtual(self, rooms: list[list], want: Want) -> int:  # type: ignore[type-arg]
-        left = want.tasks
-        for room in rooms:
-            shape, zone, spot, *free = room
-            if not self._suits(want, shape.label, zone, spot):
-                continue
-            need = (want.cpus, want.gpus, want.memory)
-            taken = min(max(left, 0), fits(free, need))
-            left -= taken
-            room[3:] = less(free, need, taken)
-        return left
+    def _use_virtual(self, rooms: Slots, want: Want) -> int:
+        """The tasks for which there is nothing on its way."""
+
+        def suits(label: str, zone: str, spot: bool) -> bool:
+            return self._suits(want, label, zone, spot)
+
+        return want.tasks - rooms.take(suits, (want.cpus, want.gpus, want.memory), want.tasks)
 
     @staticmethod
     def _rest(shape: MachineType, want: Want, tasks: int) -> list[float]:
@@ -261,6 +255,11 @@
         out: list[Decision], cached: bool = False,
     ) -> int:  # fmt: skip
         """Sooner than a machine boots."""
+        # What can be recalled only grows less within a round: wants alike in all that counts need not look again.
+        alike = ("recall", team, want.types, want.zone, want.spot, want.priority, want.guaranteed,
+                 want.slack_s < self.boot_s, want.image if cached else None)  # fmt: skip
+        if left <= 0 or not busy or alike in self.barren:
+            return left
         options: list[tuple[float, str, Lent]] = []
         for name, (machine, at_work) in busy.items():
             if not self._suits(want, machine.type, machine.zone, machine.spot):
@@ -270,6 +269,8 @@
             if not self._may_recall(team, want, machine, at_work, spare):
                 continue
             options.append((at_work.loss_s, name, machine))
+        if not options:
+            self.barren.add(alike)
         for _, name, machine in sorted(options):
             if left <= 0:
                 break
@@ -285,6 +286,9 @@
         out: list[Decision], now: float, cached: bool = False,
     ) -> int:  # fmt: skip
         """Machines that stand empty need no boot."""
+        alike = ("lend", team, want.types, want.zone, want.spot, want.cpus, want.gpus, want.memory, want.image if cached else None)
+        if left <= 0 or alike in self.barren:
+            return left
         options = [(0.0, machine) for machine in pool.values()]
         options += [(1.0, machine) for machine, _ in idle.values() if machine.part != team]
         # The cheap kind first, since it is the one to keep.
@@ -304,6 +308,8 @@
             pool.pop(machine.name, None)
             idle.pop(machine.name, None)
             left -= per
+        if left > 0:
+            self.barren.add(alike)
         return left
 
     def _offer(
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -23,7 +23,7 @@
 class Chunk:
     """A run of tasks that share one value `work/<team>/<id>/<n>`."""
 
-    __slots__ = ("attempts", "durable", "gen", "n", "stamp")
+    __slots__ = ("attempts", "durable", "gen", "n", "placed", "stamp")
 
     def __init__(self, n: int) -> None:
         self.n = n
@@ -31,6 +31,7 @@
         self.gen = 0
         self.durable = 0
         self.attempts = 0  # the highest attempt number used
+        self.placed = 0  # the latest change that starts wait for
 
     def touch(self) -> int:
         self.gen += 1
@@ -61,6 +62,10 @@
         self.avoid: dict[str, float] = {}  # machine: until when this job had better not go there
         self.preempted_at = -math.inf  # when work of its team was last stopped for it
         self.cleared = 0  # and on how many machines
+        self.listener: dict[str, Job] = {}  # its part's jobs with something to write: it enters itself there
+
+    def changed(self) -> None:
+        self.listener[self.id] = self
 
     # -- states of tasks -------------------------------------------------------------------
 
@@ -68,6 +73,7 @@
         was = self.states[task]
         if was == TaskState.DONE:
             return self.chunk_of(task).gen
+        self.changed()
         if was == TaskState.READY:
             self.ready -= 1
         if state == TaskState.READY:
@@ -81,7 +87,7 @@
     def place(self, task: int, machine: str, attempt: int, now: float) -> Placement:
         chunk = self.chunk_of(task)
         chunk.attempts = max(chunk.attempts, attempt)
-        gen = self._set(task, TaskState.LIVE)
+        gen = chunk.placed = self._set(task, TaskState.LIVE)
         placement = Placement(self.id, task, attempt, machine, gen, now)
         self.live[task] = placement
         return placement
@@ -93,6 +99,7 @@
             self._set(task, TaskState.READY)
         else:
             self.chunk_of(task).touch()
+        self.changed()
 
     def finish(self, task: int) -> None:
         self.fails.pop(task, None)
@@ -110,15 +117,23 @@
     def set_failure(self, task: int, failure: Failure) -> None:
         self.fails[task] = failure
         self.chunk_of(task).touch()
+        self.changed()
 
     def cancel(self, at: float) -> None:
         self.phase = JobPhase.CANCELLED
         self.cancelled_at = at
+        self.changed()
+
+    def over(self) -> None:
+        """Its last task is done: the outcome is to be written."""
+        self.phase = JobPhase.OVER
+        self.changed()
 
     def set_reason(self, reason: str) -> None:
         if reason != self.reason:
             self.reason = reason
             self.reason_gen += 1
+            self.changed()
 
     # -- picture ---------------------------------------------------------------------------
 
@@ -151,6 +166,11 @@
             return max((chunk.attempts for chunk in self.chunks.values()), default=0) + 1
         return self.chunk_of(task).attempts + 1
 
+    @property
+    def pressing(self) -> bool:
+        """Whether starts or an outcome wait for it to be written; other changes may wait for their turn."""
+        return self.phase is not JobPhase.ACTIVE or any(chunk.placed > chunk.durable for chunk in self.chunks.values())
+
     @property
     def complete(self) -> bool:
         return self.done == self.spec.tasks
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -128,15 +128,19 @@
 def fits(free: Sequence[float], need: Sequence[float]) -> int:
     """How many times a need (of CPUs, GPUs and memory) goes into what is free."""
     most = 1 << 30
-    for wanted, there in zip(need, free, strict=True):
+    for wanted, there in ((need[0], free[0]), (need[1], free[1]), (need[2], free[2])):
         if wanted > 0:
-            most = min(most, int((there + 1e-6) / wanted))
-    return max(most, 0)
+            times = int((there + 1e-6) / wanted)
+            if times <= 0:
+                return 0
+            if times < most:
+                most = times
+    return most
 
 
 def less(free: Sequence[float], need: Sequence[float], times: int) -> list[float]:
     """What is left of it after so many."""
-    return [there - wanted * times for there, wanted in zip(free, need, strict=True)]
+    return [free[0] - need[0] * times, free[1] - need[1] * times, free[2] - need[2] * times]
 
 
 def capacity(shape: MachineType, cpus: float, gpus: float, memory: float) -> int:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -17,7 +18,7 @@
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
 from ashdock.core.job import Job, JobPhase, chunk_size
-from ashdock.core.machine import Machine, MachinePhase, capacity, fits, less
+from ashdock.core.machine import Machine, MachinePhase
 from ashdock.core.quota import Usage, guaranteed
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.settings import Operators, Shared, Team
@@ -26,6 +27,7 @@
 log = logging.getLogger("ashdock.part")
 
 ORDERS_AT_ONCE = 200  # keeps an answer to a worker well under 64 KiB
+MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
 
 
 class Txn:
@@ -37,6 +39,7 @@
         self.marks: list[Callable[[int], None]] = []
         self.ops = ops
         self.bytes = 200
+        self.urgent = False  # whether anything in it cannot wait until there is more than enough of our share left
 
     def room(self, ops: int, size: int) -> bool:
         return not self.writes or (len(self.writes) + ops <= self.ops and self.bytes + size <= 60 * 1024)
@@ -93,6 +96,21 @@
     spare_beyond: int  # machines held beyond the guarantee
 
 
+class _Pass:
+    """What one scheduling pass looks at, gathered once: machines with room, room to come, and what found none."""
+
+    def __init__(self, machines: Iterable[Machine], now: float) -> None:
+        self.open: list[Machine] = []
+        self.coming = placing.Slots()
+        self.barren = placing.Barren()
+        for machine in machines:
+            if machine.phase is MachinePhase.UP:
+                if machine.cpus > 1e-6 and machine.memory > 1e-6 and machine.usable:
+                    self.open.append(machine)
+            elif machine.coming(now):
+                self.coming.add(machine.shape, machine.zone, machine.spot)
+
+
 class Part:
     def __init__(
         self, team: Team, stamp: int, shared: Shared, operators: Operators, catalog: dict[str, MachineType],
@@ -119,6 +137,12 @@
         self.reserved: set[str] = set()  # empty machines kept for a gang that lacks others
         self.seen = stamp
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
+        # What a pass or a transaction has to look at, so that neither looks at everything each time.
+        self.touched: dict[str, Job] = {}  # jobs with something to write
+        self.changing: dict[str, None] = {}  # machines whose record may have to be written
+        self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
+        self.stale = True  # room or work has come up since the last pass
+        self.ticked = -math.inf
 
     # -- taking over --------------------------------------------------------------------------
 
@@ -167,7 +191,7 @@
         elif job.spec.kind == "gang" and job.live and len(job.live) < job.spec.tasks:
             self._break(job, "incomplete", now)
         if job.complete and job.active:
-            job.phase = JobPhase.OVER
+            job.over()
         # Placements on machines that are no longer recorded: their machine is proved gone.
         for placement in list(job.live.values()):
             if placement.machine not in self.machines:
@@ -179,8 +203,11 @@
         if known:
             return known
         job = Job(spec, record["at"], stamp, self.chunk_tasks)
+        job.listener = self.touched
+        self.stale = True
         job.reason = record.get("reason")
         if record["status"] == "withdrawn":
+            self.ending[spec.id] = job
             job.cancel(record.get("cancelled_at", record["at"]))
         self.jobs[spec.id] = job
         return job
@@ -211,6 +238,7 @@
 
     def _drop(self, placement: Placement, now: float) -> None:
         """Only on proof that the task is not, and will not be, on its machine."""
+        self.stale = True
         job = self.jobs[placement.job]
         spec = job.spec
         self.usage.give_back(spec)
@@ -240,8 +268,9 @@
             self._drop(placement, now)
         if job.states[task] != TaskState.DONE:
             job.finish(task)
+        job.changed()
         if job.complete and job.active:
-            job.phase = JobPhase.OVER
+            job.over()
 
     def _stop(self, placement: Placement, why: str, leeway: float, now: float) -> None:
         if placement.never_sent:
@@ -288,6 +317,7 @@
         recent = [at for at in machine.failed.values() if now - at < self.retry.horizon_s / 3]
         if len(recent) >= 2 and machine.phase is MachinePhase.UP and self._may_suspect():
             machine.leave("suspect")
+            self.changing[machine.name] = None
             log.info("machine %s is suspect: %d jobs failed there; draining it", machine.name, len(recent))
             self._drain(machine, now)
         failure = Failure(0, now, reason)
@@ -337,6 +367,8 @@
         newer = (report.tenure, report.tally) > (machine.tenure, machine.tally)
         if not newer:
             return []
+        if machine.phase is MachinePhase.EXPECTED:
+            self.stale = True
         machine.came_up(report.address)
         machine.last_at = now
         machine.warrant = report.warrant
@@ -505,6 +537,7 @@
         """A start may still arrive, even minutes late: raise the token, so that it cannot."""
         if any(order.verb == RUN for order in orders):
             machine.bump = True
+            self.changing[machine.name] = None
 
     # -- stopping -------------------------------------------------------------------------------
 
@@ -550,6 +583,7 @@
         job.cancel(at)
         job.stamp = max(job.stamp, stamp)
         job.breaking = None
+        self.ending[job_id] = job
         self.parks.drop(job_id)
         for placement in list(job.live.values()):
             self._stop(placement, "cancelled", 0.0, now)
@@ -572,8 +606,12 @@
         for park in self.parks.due(now):
             job = self.jobs.get(park.job)
             if job:
+                self.stale = True
                 for task in range(park.low, park.high + 1):
                     job.wake(task, park.failure)
+        if now - self.ticked < self.workers.report_s / 4:
+            return
+        self.ticked = now
         silent = [m for m in self.machines.values() if m.last_at is not None and m.silent_for(now) > self.silent_s]
         up = sum(1 for m in self.machines.values() if m.last_at is not None)
         # Where most fall silent at once, the fault may be on our side: the part may yet move to a controller
@@ -595,9 +633,11 @@
             elif machine.last_at is not None and machine.silent_for(now) > patience:
                 # Silence is no proof that its tasks stopped. Releasing it makes one.
                 self._doom(machine, "silent")
-        for job in self.jobs.values():
-            if job.cancelled_at is not None:
+        for job in list(self.ending.values()):
+            if job.live:
                 self._end_cancelled(job, now)
+            elif job.id not in self.jobs:
+                del self.ending[job.id]
 
     @property
     def silent_s(self) -> float:
@@ -617,6 +657,7 @@
         log.info("machine %s is given up: %s", machine.name, why)
         machine.doom(why)
         machine.doom_gen = 1
+        self.changing[machine.name] = None
 
     # -- scheduling -----------------------------------------------------------------------------
 
@@ -659,30 +700,53 @@
     grace = 0.25  # estimates are often wrong: a job is late for sure only with this share of its run time to spare
 
     def schedule(self, now: float) -> None:
+        """One pass: place what fits, keep and make room for what does not, and tell what is lacking."""
+        self.stale = False
         short: list[tuple[Job, int, str]] = []
         self.reserved = set()
+        look = _Pass(self.machines.values(), now)
         for job in self.waiting(now):
-            missing = self._try_place(job, now)
+            missing = self._try_place(job, look, now)
             zone = ""
             if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
-                zone, kept = self._keep_for_gang(job, now)
+                zone, kept = self._keep_for_gang(job, look)
                 missing -= kept
             if now - job.preempted_at < self.workers.lease_s / 2:
                 missing -= job.cleared  # room is being made already
             if missing > 0:
                 short.append((job, missing, zone))
+        lowest = min((self.jobs[p.job].spec.priority for p in self._some_live()), default=0)
+        lower: dict[int, list[tuple[Machine, list[Placement]]]] = {}
         for job, missing, zone in short:
-            self._make_room(job, missing, zone, now)
-        self.wants = self._net_wants(short, now)
-
-    def _try_place(self, job: Job, now: float) -> int:
+            # Nothing of lower priority runs, mostly: then there is nothing to look at.
+            if job.spec.priority > lowest and now - job.preempted_at >= self.workers.lease_s:
+                if job.spec.priority not in lower:
+                    lower[job.spec.priority] = self._lower_work(job.spec.priority)
+                self._make_room(job, missing, zone, lower[job.spec.priority], now)
+        self.wants = self._net_wants(short, look, now)
+
+    def _some_live(self) -> Iterable[Placement]:
+        """One placement of each job that has any: they share the job's priority."""
+        return (next(iter(job.live.values())) for job in self.jobs.values() if job.live)
+
+    def _try_place(self, job: Job, look: _Pass, now: float) -> int:
         """Place what fits; the number of tasks that want room and found none."""
         spec = job.spec
         permitted = min(self.usage.room(spec), job.ready)
         if (spec.kind == "gang" and permitted < spec.tasks) or permitted <= 0:
             return 0
-        free = [machine for machine in self.machines.values() if machine.name not in self.reserved]
-        picked = placing.select(job, free, permitted, now)
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+        anywhere = (tuple(spec.types or ()), spec.zone, spec.spot)
+        together = (*anywhere, spec.one_zone, spec.spread)
+        if look.barren.holds(anywhere, need, 1) or (spec.kind == "gang" and look.barren.holds(together, need, spec.tasks)):
+            return permitted
+        free = [machine for machine in look.open if machine.name not in self.reserved]
+        options = placing.choices(job, free, now)
+        picked = placing.select(job, options, permitted, self.zone_of)
+        if not options:
+            look.barren.note(anywhere, need, 1)
+        elif not picked and spec.kind == "gang":
+            look.barren.note(together, need, spec.tasks)
         if picked:
             tasks = job.ready_tasks(len(picked))
             attempt = job.attempt_for(0)
@@ -691,19 +755,29 @@
             log.info("job %s: %d tasks placed on %s", job.id, len(picked), ",".join(sorted({m.name for m in picked})))
         return permitted - len(picked)
 
-    def _make_room(self, job: Job, missing: int, zone: str, now: float) -> None:
+    def zone_of(self, machine: str) -> str:
+        known = self.machines.get(machine)
+        return known.zone if known else "?"
+
+    def _lower_work(self, priority: int) -> list[tuple[Machine, list[Placement]]]:
+        """Machines with work below a priority, and that work; none where something is being stopped already."""
+        out = []
+        for machine in self.machines.values():
+            if not machine.usable or not machine.live or machine.name in self.reserved:
+                continue
+            lower = [p for p in machine.live.values() if self.jobs[p.job].spec.priority < priority]
+            if lower and not any(p.phase is Phase.STOPPING for p in machine.live.values()):
+                out.append((machine, lower))
+        return out
+
+    def _make_room(self, job: Job, missing: int, zone: str, candidates: list[tuple[Machine, list[Placement]]], now: float) -> None:
         """Stop work of lower priority of this team for it, once per lease at most for any one job."""
-        if now - job.preempted_at < self.workers.lease_s:
-            return
         spec = job.spec
         victims: list[tuple[float, Machine]] = []
-        for machine in self.machines.values():
-            if not machine.usable or not placing.permits(spec, machine.type, machine.zone, machine.spot):
-                continue
-            if machine.name in self.reserved or (spec.one_zone and zone and machine.zone != zone):
+        for machine, lower in candidates:
+            if not placing.permits(spec, machine.type, machine.zone, machine.spot):
                 continue
-            lower = [p for p in machine.live.values() if self.jobs[p.job].spec.priority < spec.priority]
-            if not lower or any(p.phase is Phase.STOPPING for p in machine.live.values()):
+            if (spec.one_zone and zone and machine.zone != zone) or any(p.phase is Phase.STOPPING for p in lower):
                 continue
             cpus = machine.cpus + sum(self.jobs[p.job].spec.cpus for p in lower)
             gpus = machine.gpus + sum(self.jobs[p.job].spec.gpus for p in lower)
@@ -736,26 +810,29 @@
         lost += max(0.0, 30.0 - ran)  # what is stopped this soon has not counted as started
         return lost * (spec.gpus or spec.cpus) * (spec.tasks if spec.kind == "gang" else 1)
 
-    def _keep_for_gang(self, job: Job, now: float) -> tuple[str, int]:
+    def _keep_for_gang(self, job: Job, look: _Pass) -> tuple[str, int]:
         """The zone where a gang that finds no room is best completed ("" if any will do), and how many of
         its tasks the machines kept for it there would take. Without this, lesser work and other teams
         would take each machine before the last one is there."""
         spec = job.spec
         rooms: dict[str, list[tuple[Machine, int]]] = {}
-        boots: dict[str, int] = {}
-        for machine in self.machines.values():
+        promise: dict[str, int] = {}
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+
+        def suits(label: str, zone: str, spot: bool) -> bool:
+            return placing.permits(spec, label, zone, spot)
+
+        for machine in look.open:
             zone = machine.zone if spec.one_zone else ""
-            if machine.name in self.reserved or not placing.permits(spec, machine.type, machine.zone, machine.spot):
+            if machine.name in self.reserved or not suits(machine.type, machine.zone, machine.spot):
                 continue
-            if machine.usable and (room := machine.fits(spec.cpus, spec.gpus, spec.memory_gb)):
+            if room := machine.fits(*need):
                 rooms.setdefault(zone, []).append((machine, room))
-            elif machine.coming(now):
-                boots[zone] = boots.get(zone, 0) + capacity(machine.shape, spec.cpus, spec.gpus, spec.memory_gb)
-
-        def promise(zone: str) -> int:
-            return sum(room for _, room in rooms.get(zone, ())) + boots.get(zone, 0)
-
-        best = max(sorted({*rooms, *boots}), key=promise, default="")
+                promise[zone] = promise.get(zone, 0) + room
+        for zone, room in look.coming.zones(suits, need).items():
+            zone = zone if spec.one_zone else ""
+            promise[zone] = promise.get(zone, 0) + room
+        best = max(sorted(promise), key=lambda zone: promise[zone], default="")
         kept = 0
         for machine, room in rooms.get(best, ()):
             if kept < spec.tasks:
@@ -767,28 +844,20 @@
         loss = sum(self._loss(placement, now) for placement in machine.live.values())
         return loss / (machine.shape.accelerators or machine.shape.cpus)
 
-    def _net_wants(self, short: list[tuple[Job, int, str]], now: float) -> list[Want]:
+    def _net_wants(self, short: list[tuple[Job, int, str]], look: _Pass, now: float) -> list[Want]:
         """What is lacking once the machines still booting are counted in."""
-        coming: list[list[Any]] = [
-            [m, m.shape.cpus, m.shape.accelerators, m.shape.ram_gb]
-            for m in self.machines.values()
-            if m.coming(now)
-        ]  # fmt: skip
         cpus, gpus = self.usage.cpus, self.usage.gpus
         out: list[Want] = []
         for job, missing, zone in short:
             spec = job.spec
             cpus += spec.cpus * missing
             gpus += spec.gpus * missing
-            for slot in coming:
-                machine, *free = slot
-                if not placing.permits(spec, machine.type, machine.zone, machine.spot) or zone not in ("", machine.zone):
-                    continue
-                need = (spec.cpus, spec.gpus, spec.memory_gb)
-                taken = min(max(missing, 0), fits(free, need))
-                missing -= taken
-                slot[1:] = less(free, need, taken)
-            if missing > 0:
+
+            def suits(label: str, where: str, spot: bool, spec: Spec = spec, zone: str = zone) -> bool:
+                return zone in ("", where) and placing.permits(spec, label, where, spot)
+
+            missing -= look.coming.take(suits, (spec.cpus, spec.gpus, spec.memory_gb), missing)
+            if missing > 0 and len(out) < MOST_WANTS:
                 out.append(
                     Want(
                         spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
@@ -837,6 +906,7 @@
         if machine is not None and machine.usable and machine.empty and to != self.name:
             machine.to = to
             machine.leave("moves")
+            self.changing[name] = None
 
     def recall(self, order: Recalled, now: float) -> None:
         """Vacate machines for a team that lacks its guarantee, or for work of higher priority."""
@@ -846,15 +916,24 @@
                 log.info("machine %s is vacated for team %s", name, order.to)
                 machine.leave(f"recalled for {order.to}")
                 machine.to = order.to
+                self.changing[name] = None
                 self._drain(machine, now)
 
     # -- writing --------------------------------------------------------------------------------
 
     def next_txn(self) -> Txn | None:
-        """The changes not yet durable, as many as one transaction takes."""
+        """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for."""
         txn = Txn(self.shared.state.txn_ops)
-        for job in list(self.jobs.values()):
-            self._write_job(job, txn)
+        later: list[Job] = []
+        for job in list(self.touched.values()):
+            if job.id not in self.jobs or not self._unwritten(job):
+                del self.touched[job.id]
+            elif job.pressing:
+                txn.urgent = True
+                if not self._write_job(job, txn):
+                    break
+            else:
+                later.append(job)
         for n, value in self.parks.writes() if self.parks.dirty else ():
             size = int(self.shared.state.value_kb * 1024)
             if txn.room(1, size):
@@ -862,10 +941,18 @@
                 txn.put(self.parks.path(n), value, stamp)
                 txn.bytes += size
                 txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
-        for machine in list(self.machines.values()):
+        for name in list(self.changing):
+            machine = self.machines.get(name)
+            if machine is None or (machine.to is None and not machine.bump and not machine.doom_gen):
+                del self.changing[name]
+                continue
+            txn.urgent = True
             self._write_machine(machine, txn)
             if machine.to is not None and machine.ended and not machine.live:
                 self.urgent[machine.name] = None  # the sooner it forgets, the sooner it can go
+        for job in later:
+            if not self._write_job(job, txn):
+                break
         while self.leftover and txn.room(1, 100):
             path, stamp = self.leftover.pop()
             txn.put(path, None, stamp)
@@ -878,42 +965,57 @@
         self.parks.wrote(n, value, revision)
         self.parks.dirty = bool(self.parks.writes())
 
-    def _write_job(self, job: Job, txn: Txn) -> None:
+    @staticmethod
+    def _unwritten(job: Job) -> bool:
         if job.phase is JobPhase.OVER or (job.phase is JobPhase.CANCELLED and not job.live):
-            self._write_outcome(job, txn)
-            return
+            return True
+        return job.reason_gen > job.reason_durable or any(chunk.gen > chunk.durable for chunk in job.chunks.values())
+
+    def _write_job(self, job: Job, txn: Txn) -> bool:
+        """Whether it found room in the transaction."""
+        if job.phase is JobPhase.OVER or (job.phase is JobPhase.CANCELLED and not job.live):
+            return self._write_outcome(job, txn)
         dirty = [chunk for chunk in job.chunks.values() if chunk.gen > chunk.durable]
         if job.spec.kind == "gang" and dirty:
             # A gang is placed whole or not at all, so its chunks go together.
-            if not txn.room(len(dirty), len(dirty) * int(self.shared.state.value_kb * 1024)):
-                return
+            if not txn.room(len(dirty), sum(self._chunk_bytes(job, chunk.n) for chunk in dirty)):
+                return False
         for chunk in dirty:
             value = job.chunk_value(chunk.n)
             size = len(msgspec.json.encode(value)) + 120
             if job.spec.kind != "gang" and not txn.room(1, size):
-                return
+                return False
             txn.put(job.path(chunk.n), value, chunk.stamp)
             txn.when[job.job_path] = job.stamp
             txn.bytes += size
             txn.marks.append(lambda revision, n=chunk.n, gen=chunk.gen: self._chunk_durable(job, n, gen, revision))  # type: ignore[misc]
-        if job.reason_gen > job.reason_durable and job.active and txn.room(2, 4096):
+        if job.reason_gen > job.reason_durable and job.active:
+            if not txn.room(2, 4096):
+                return False
             txn.put(job.job_path, job.record(), job.stamp)
             txn.put(job.head_path, job.record(), job.stamp)
             txn.bytes += 4096
             txn.marks.append(lambda revision, gen=job.reason_gen: self._reason_durable(job, gen, revision))  # type: ignore[misc]
+        return True
+
+    @staticmethod
+    def _chunk_bytes(job: Job, n: int) -> int:
+        return len(msgspec.json.encode(job.chunk_value(n))) + 120
 
-    def _write_outcome(self, job: Job, txn: Txn) -> None:
+    def _write_outcome(self, job: Job, txn: Txn) -> bool:
         chunks = [chunk for chunk in job.chunks.values() if chunk.stamp]
         together, later = chunks[: txn.ops - 4], chunks[txn.ops - 4 :]
-        if not txn.room(len(together) + 2, 4096):
-            return
+        size = 100 * (len(together) + 2) + len(msgspec.json.encode(job.record()))
+        if not txn.room(len(together) + 2, size):
+            return False
         if job.phase is JobPhase.OVER:
             txn.put(job.job_path, job.record(), job.stamp)
         txn.put(job.head_path, None, job.stamp)
         for chunk in together:
             txn.put(job.path(chunk.n), None, chunk.stamp)
-        txn.bytes += 4096
+        txn.bytes += size
         txn.marks.append(lambda revision: self._outcome_durable(job, later))
+        return True
 
     def _write_machine(self, machine: Machine, txn: Txn) -> None:
         moves = machine.to is not None and machine.empty and machine.phase is MachinePhase.LEAVING
--- a/ashdock/core/placement.py
+++ b/ashdock/core/placement.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, NamedTuple
 
 from ashdock.core.job import Job
-from ashdock.core.machine import Machine
-from ashdock.wire.messages import Spec
+from ashdock.core.machine import Machine, capacity, fits, less
+from ashdock.wire.messages import MachineType, Spec
 
 
 class Choice(NamedTuple):
@@ -63,17 +63,16 @@
     return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
 
 
-def select(job: Job, machines: Iterable[Machine], want: int, now: float) -> list[Machine]:
+def select(job: Job, options: list[Choice], want: int, zone_of: Callable[[str], str]) -> list[Machine]:
     """Machines for up to `want` more tasks of the job, one entry a task; for a gang all or none."""
-    options = choices(job, machines, now)
     if not options:
         return []
     spec = job.spec
     used: dict[str, int] = {}
-    names = {choice.machine.name: choice.machine for choice in options}
-    for placement in job.live.values():
-        zone = zone_of(placement.machine, names, machines)
-        used[zone] = used.get(zone, 0) + 1
+    if spec.one_zone or spec.spread:
+        for placement in job.live.values():
+            zone = zone_of(placement.machine)
+            used[zone] = used.get(zone, 0) + 1
     if spec.one_zone:
         zones = list(used) or sorted({choice.machine.zone for choice in options})
         best: tuple[tuple[float, float], list[Machine]] | None = None
@@ -91,11 +90,6 @@
     return picked
 
 
-def zone_of(name: str, known: dict[str, Machine], machines: Iterable[Machine]) -> str:
-    machine = known.get(name) or next((m for m in machines if m.name == name), None)
-    return machine.zone if machine else "?"
-
-
 def _fill(options: list[Choice], used: dict[str, int], want: int, cap: int) -> tuple[list[Machine], float]:
     used = dict(used)
     picked: list[Machine] = []
@@ -110,3 +104,70 @@
         if len(picked) >= want:
             break
     return picked, worst
+
+
+Need = tuple[float, float, float]  # CPUs, GPUs, memory
+
+
+class Barren:
+    """Needs for which one pass has found no room. Room only shrinks within a pass, so whatever asks for at
+    least as much under the same conditions need not be tried: without this, each waiting job looked at each
+    machine in each pass."""
+
+    def __init__(self) -> None:
+        self.found: dict[Any, list[tuple[Need, int]]] = {}
+
+    def note(self, conditions: Any, need: Need, tasks: int) -> None:
+        self.found.setdefault(conditions, []).append((need, tasks))
+
+    def holds(self, conditions: Any, need: Need, tasks: int) -> bool:
+        return any(
+            tasks >= many and need[0] >= less_[0] and need[1] >= less_[1] and need[2] >= less_[2]
+            for less_, many in self.found.get(conditions, ())
+        )
+
+
+class Slots:
+    """Room to come: whole machines counted by type, zone and kind, and the rests of those already spoken for."""
+
+    def __init__(self) -> None:
+        self.whole: dict[tuple[str, str, bool], tuple[MachineType, int]] = {}
+        self.rests: list[tuple[str, str, bool, list[float]]] = []
+
+    def add(self, shape: MachineType, zone: str, spot: bool, number: int = 1) -> None:
+        key = (shape.label, zone, spot)
+        self.whole[key] = (shape, self.whole.get(key, (shape, 0))[1] + number)
+
+    def add_rest(self, label: str, zone: str, spot: bool, free: Sequence[float]) -> None:
+        if all(amount > 1e-6 for amount in free[::2]):  # CPUs and memory: nothing runs without
+            self.rests.append((label, zone, spot, list(free)))
+
+    def zones(self, suits: Any, need: Need) -> dict[str, int]:
+        """How many such tasks the whole machines of each zone would take."""
+        out: dict[str, int] = {}
+        for (label, zone, spot), (shape, number) in self.whole.items():
+            if number and suits(label, zone, spot):
+                out[zone] = out.get(zone, 0) + number * capacity(shape, *need)
+        return out
+
+    def take(self, suits: Any, need: Need, tasks: int) -> int:
+        """Speak for room for up to so many tasks; the number that found some."""
+        left = tasks
+        for label, zone, spot, free in self.rests:
+            if left <= 0:
+                break
+            if suits(label, zone, spot) and (taken := min(left, fits(free, need))):
+                left -= taken
+                free[:] = less(free, need, taken)
+        for (label, zone, spot), (shape, number) in list(self.whole.items()):
+            if left <= 0:
+                break
+            per = capacity(shape, *need) if number and suits(label, zone, spot) else 0
+            if per <= 0:
+                continue
+            used = min(number, -(-left // per))
+            self.whole[label, zone, spot] = (shape, number - used)
+            last = min(left - (used - 1) * per, per)
+            left -= (used - 1) * per + last
+            self.add_rest(label, zone, spot, less((shape.cpus, shape.accelerators, shape.ram_gb), need, last))
+        return tasks - left
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -41,6 +41,8 @@
         self.give_to: str | None = None  # the leader wants another controller to have the part
         self.early: list[Callable[[Part], None]] = []  # changes seen while the part was being read
         self.sends: set[asyncio.Task[None]] = set()
+        self.passed_at = -1e9  # when the last scheduling pass began
+        self.pass_after = 0.0  # a pass that took long is not followed by another at once
         self.task = asyncio.create_task(self._run())
 
     # -- changes of state ------------------------------------------------------------------------
@@ -95,7 +97,8 @@
         orders = part.on_report(report, self.controller.now(), checkin=True)
         if orders is None:
             return None
-        self.wake.set()
+        if part.stale or part.touched or part.changing or part.urgent:
+            self.wake.set()  # most reports say nothing new, and call for no turn
         return Orders(part.token(part.machines[report.berth]), orders)
 
     # -- the loop ------------------------------------------------------------------------------------
@@ -107,7 +110,7 @@
                 self.wake.clear()
                 await self._turn()
                 try:
-                    async with asyncio.timeout(self.controller.tick_s):
+                    async with asyncio.timeout(self._pause()):
                         await self.wake.wait()
                         # Things come in bunches: what arrives together is decided and written together.
                         await asyncio.sleep(self.controller.gather_s)
@@ -148,14 +151,26 @@
             return
         now = self.controller.now()
         part.tick(now)
-        if self.controller.state_fresh():
-            part.schedule(now)
-        else:
+        if not self.controller.state_fresh():
             part.wants = []
+        elif now >= self.pass_after and (part.stale or now - self.passed_at > self.controller.tick_s):
+            self.passed_at = now
+            part.schedule(now)
+            # At most a quarter of the processor goes into passes, however large the part.
+            ended = self.controller.now()
+            self.pass_after = ended + 3 * (ended - now)
         self.controller.tell_leader(part)
         await self._commit(part)
         self._send_urgent(part)
 
+    def _pause(self) -> float:
+        """Until the next turn, if nothing wakes us: sooner where a pass had to be put off."""
+        part = self.part
+        tick_s = self.controller.tick_s
+        if part and part.stale:
+            return min(tick_s, max(self.pass_after - self.controller.now(), tick_s / 16))
+        return tick_s
+
     async def _give(self, part: Part, to: str) -> None:
         """Name the next owner in the part's key, between two of our own transactions. It claims on seeing that."""
         self.give_to = None
@@ -178,7 +193,7 @@
             if txn is None or self.phase is not OwnerPhase.ACTIVE:
                 return
             try:
-                revision = await state.txn(txn.when, txn.writes)
+                revision = await state.txn(txn.when, txn.writes, urgent=txn.urgent)
             except Conflict as why:
                 if not await self._reread(part, why.failed):
                     return
