--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ashdock.core import park as parking
+from ashdock.core import placement as placing
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
 from ashdock.core.part import Busy, Part, Picture, Recalled, Want
@@ -362,3 +363,60 @@
         tasks: list[tuple[str, int, str, str | None]] = [("req-000001/0", 1, "running", None)] if listed else []
         heir.on_report(report("vm-0", tally, tasks, warrant=token, tenure=tenure), 6.0, True)
     assert (0 in heir.jobs["req-000001"].live) is counts
+
+
+def test_a_pass_over_a_full_part_does_not_look_at_every_machine_for_every_job(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With 740 machines each waiting job compared itself with each of them in every pass, and a controller
+    had time for little else. Counted in comparisons: a second batch of waiting jobs like the first adds none."""
+    calls = [0]
+    real = placing.permits
+
+    def counted(*given: Any) -> bool:
+        calls[0] += 1
+        return real(*given)
+
+    monkeypatch.setattr(placing, "permits", counted)
+    part = part_with([spec(1, shares=8)], "ab" * 40)
+    part.schedule(1.0)
+    for machine in part.machines.values():
+        machine.came_up("10.1.0.1:9000")
+    part.schedule(1.0)
+    costs = []
+    for batch in (1, 2, 3):
+        for n in range(30):
+            part.add_job({"spec": __import__("msgspec").to_builtins(spec(batch * 100 + n, shares=1, cpus=40.0)), "at": 0.0, "status": "queued"}, 7)
+        calls[0] = 0
+        part.schedule(2.0 + batch)
+        costs.append(calls[0])
+    assert costs[0] == costs[1] == costs[2] <= 80
+
+
+def test_a_transaction_looks_only_at_jobs_that_changed(monkeypatch: pytest.MonkeyPatch) -> None:
+    part = part_with([spec(n, shares=1) for n in range(1, 200)], "a")
+    part.tick(1.0)
+    part.on_report(report("vm-0", 1), 1.0, True)
+    part.schedule(1.0)
+    commit(part, 20)
+    seen: list[str] = []
+    real = part._unwritten
+    monkeypatch.setattr(part, "_unwritten", lambda job: seen.append(job.id) or real(job))
+    assert part.next_txn() is None
+    part.on_report(report("vm-0", 2, [("req-000001/0", 1, "ended", "done")]), 2.0, True)
+    seen.clear()
+    assert part.next_txn() is not None
+    assert seen == ["req-000001"]
+
+
+SLOTS = [  # machines coming by zone, needs (CPUs, tasks) in turn -> how many found room
+    ("aab", [(32.0, 2, ""), (32.0, 2, "")], [2, 1]), ("a", [(8.0, 3, ""), (8.0, 3, "")], [3, 1]),
+    ("ab", [(32.0, 2, "b"), (32.0, 2, "")], [1, 1]), ("", [(1.0, 1, "")], [0]), ("aa", [(8.0, 6, ""), (8.0, 2, "a")], [6, 2]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("zones", "needs", "found"), SLOTS)
+def test_room_to_come(zones: str, needs: list[tuple[float, int, str]], found: list[int]) -> None:
+    slots = placing.Slots()
+    for zone in zones:
+        slots.add(G4, zone, False)
+    got = [slots.take(lambda _label, zone, _spot, want=want: want in ("", zone), (cpus, 0.0, 1.0), n) for cpus, n, want in needs]
+    assert got == found
