--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -13,6 +13,7 @@
 from ashdock.core.part import Part, Picture, Recalled
 from ashdock.front import Front
 from ashdock.leader import Leader
+from ashdock.net.budget import Demand
 from ashdock.net.cloud import CloudClient, CloudTrouble
 from ashdock.net.http import Server
 from ashdock.net.mesh import Mesh
@@ -320,7 +321,10 @@
 
     async def _gossip(self) -> float:
         now = time.monotonic()
-        beat = Beat(self.incarnation, self.state.silent_for, now - self.last_report, self.ready(), self.leader is not None)
+        self._share()
+        beat = Beat(
+            self.incarnation, self.state.silent_for, now - self.last_report, self.ready(), self.leader is not None, *self.state.demand
+        )  # fmt: skip
         self.mesh.broadcast(beat)
         leader = self.leader_label()
         counts: list[tuple[str, int, int]] = []
@@ -334,6 +338,16 @@
         self.worker_client.sweep()
         return self.mesh.beat_s
 
+    def _share(self) -> None:
+        """Divide what the state service takes among those that live, by what each asks."""
+        others: list[Demand | None] = []
+        for peer in self.mesh.peers.values():
+            if peer.beat is not None and peer.heard_within(self.ttl_s):
+                others.append(Demand(peer.beat.requests, peer.beat.writes))
+            elif f"member/{peer.label}" in self.members.entries or not self.members.ready.is_set():
+                others.append(None)
+        self.state.share_with(others)
+
     def tell_leader(self, part: Part) -> None:
         """At once when a part comes to lack something; what it no longer lacks can wait for the next beat."""
         if part.wants and not part.wanted_before:
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -30,11 +30,21 @@
 
 
 class Rent(NamedTuple):
-    team: str
+    """One request to the cloud, for all teams that lack such machines: it takes few requests a second."""
+
+    teams: tuple[tuple[str, int], ...]  # how many for which, the most pressing first
     type: str
     zone: str
     spot: bool
-    number: int
+
+    @property
+    def number(self) -> int:
+        return sum(number for _, number in self.teams)
+
+    def allotted(self, names: list[str]) -> list[tuple[str, str]]:
+        """Which team each machine is for."""
+        teams = [team for team, number in self.teams for _ in range(number)]
+        return list(zip(names, teams, strict=False))
 
 
 class Move(NamedTuple):
@@ -56,6 +66,8 @@
     machines: list[str]
 
 
+MOST_RENTED = 50  # in one request
+
 Decision = Rent | Move | Recalled | Release | GivePart
 
 
@@ -77,13 +89,14 @@
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
         self.settle_s = shared.workers.lease_s / 2
+        self.most_requests = max(2, int(shared.cloud.rps))  # under way at a time: about a second's worth
 
     # -- what came of earlier choices -----------------------------------------------------------
 
     def rented(self, rent: Rent, names: list[str], now: float) -> None:
         self.renting_now.remove(rent)
-        for name in names:
-            self.coming[name] = (rent.team, now)
+        for name, team in rent.allotted(names):
+            self.coming[name] = (team, now)
         if len(names) < rent.number:
             self._refuse(rent, now)
         else:
@@ -154,7 +167,8 @@
             left = self._recall(team, want, left, busy, spare, out, cached=True)
             left = self._lend(team, want, left, pool, idle, out, now)
             left = self._recall(team, want, left, busy, spare, out)
-            while left > 0:
+            # With enough requests on their way, the rest is asked for together once those are answered.
+            while left > 0 and len(self.renting_now) < self.most_requests:
                 offer = self._offer(want, left, rents, now)
                 most = self.renting.most_machines
                 if offer is None or (most and total >= most):
@@ -167,11 +181,22 @@
                 left -= per
                 if left < 0:
                     on_the_way.setdefault(team, Slots()).add_rest(shape.label, zone, spot, self._rest(shape, want, per + left))
-        out += [Rent(team, kind, zone, spot, min(count, 50)) for (team, kind, zone, spot), count in rents.items()]
-        self.renting_now += [decision for decision in out if isinstance(decision, Rent)]
+        asked = self._requests(rents)
+        out += asked
+        self.renting_now += asked
         out += self._returns(pool, idle, wants, now)
         return out
 
+    @staticmethod
+    def _requests(rents: dict[tuple[str, str, str, bool], int]) -> list[Rent]:
+        """One request for each type, zone and kind, whatever teams it is for."""
+        alike: dict[tuple[str, str, bool], list[tuple[str, int]]] = {}
+        for (team, kind, zone, spot), number in rents.items():
+            room = MOST_RENTED - sum(count for _, count in alike.get((kind, zone, spot), ()))
+            if room > 0:
+                alike.setdefault((kind, zone, spot), []).append((team, min(number, room)))
+        return [Rent(tuple(teams), *key) for key, teams in alike.items()]
+
     def _forget_settled(self, lent: dict[str, Lent], pictures: dict[str, Picture], now: float) -> None:
         patience = self.shared.workers.gang_peer_s + 4 * self.shared.workers.report_s
         for name, (team, since) in list(self.recalling.items()):
@@ -194,7 +219,8 @@
             if machine and machine.type in self.catalog:
                 out.setdefault(team, Slots()).add(self.catalog[machine.type], machine.zone, machine.spot)
         for rent in self.renting_now:
-            out.setdefault(rent.team, Slots()).add(self.catalog[rent.type], rent.zone, rent.spot, rent.number)
+            for team, number in rent.teams:
+                out.setdefault(team, Slots()).add(self.catalog[rent.type], rent.zone, rent.spot, number)
         return out
 
     def _use_virtual(self, rooms: Slots, want: Want) -> int:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -923,7 +923,8 @@
 
     def next_txn(self) -> Txn | None:
         """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for."""
-        txn = Txn(self.shared.state.txn_ops)
+        # No more at a time than our share of a second: what comes after must not wait longer than that.
+        txn = Txn(max(4, min(self.shared.state.txn_ops, int(self.shared.state.write_rps / self.shared.size))))
         later: list[Job] = []
         for job in list(self.touched.values()):
             if job.id not in self.jobs or not self._unwritten(job):
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -19,6 +19,12 @@
 log = logging.getLogger("ashdock.leader")
 
 
+def rent_of(value: dict[str, Any]) -> Rent:
+    """What a charter's record says."""
+    teams = value.get("teams") or [[value["team"], value["n"]]]  # the second form is that of versions before
+    return Rent(tuple((team, number) for team, number in teams), value["t"], value["z"], value["s"])
+
+
 def gone_from(listed: dict[str, float], names: list[str], now: float, sure_s: float) -> list[str]:
     """Machines that a list lacks though they have been listed for so long that even an old list would hold them."""
     there = set(names)
@@ -37,7 +43,7 @@
         self.controller = controller
         self.stamp = stamp
         self.allotment = Allotment(controller.shared, controller.settings.operators.renting, controller.catalog)
-        self.strays: dict[str, Report] = {}  # reported and not recorded
+        self.strays: dict[str, tuple[Report, float]] = {}  # reported and not recorded, and since when
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
         self.listed: dict[str, float] = {}  # machine: when the cloud first listed it
@@ -73,7 +79,13 @@
     # -- choosing ------------------------------------------------------------------------------------
 
     def _lent(self) -> list[Lent]:
-        return [
+        # What reports without a record stands in the pool too: it is recorded when lent, in one write instead of two.
+        strays = [
+            Lent(name, "", report.hull, report.yard, report.loaners, 0, "")
+            for name, (report, _) in self.strays.items()
+            if f"machine/{name}" not in self.controller.machines.entries
+        ]
+        return strays + [
             Lent(
                 e.path.split("/", 1)[1], e.value["p"], e.value["t"], e.value["z"], e.value["s"], e.stamp, e.value.get("x", ""),
                 frozenset(e.value.get("i", ())),
@@ -89,6 +101,7 @@
         pictures: dict[str, Picture] = controller.pictures()
         owners = {team.name: controller.owner_label(team.name) or "" for team in controller.shared.teams}
         decisions = self.allotment.decide(self._lent(), pictures, now)
+        lend: dict[str, str] = {}
         for decision in decisions + self.allotment.balance(owners, controller.fit_members(), pictures, now):
             match decision:
                 case Rent():
@@ -97,7 +110,7 @@
                     if part:
                         controller.to_owner(part, Yield(part, machine, to))
                     else:
-                        self._spawn(self._assign(machine, to))
+                        lend[machine] = to
                 case Recalled():
                     log.info("team %s is to give %s to %s", decision.part, ",".join(decision.machines), decision.to)
                     controller.to_owner(decision.part, decision)
@@ -105,32 +118,74 @@
                     log.info("part %s is to go to controller %s", part, to)
                     controller.to_owner(part, Give(part, to))
                 case Release(machines):
-                    for name in machines:
-                        self._spawn(self._mark(name, "returned"))
-        return controller.tick_s
+                    self._spawn(self._mark_all(machines, "returned"))
+        if lend:
+            self._spawn(self._assign(lend))
+        # At most a quarter of the processor goes into choosing, however many machines there are.
+        return max(controller.tick_s, 3 * (controller.now() - now))
 
     def _entry(self, name: str) -> Entry | None:
         return self.controller.machines.entries.get(f"machine/{name}")
 
-    async def _write(self, name: str, entry: Entry, value: dict[str, Any]) -> None:
-        path = f"machine/{name}"
-        try:
-            stamp = await self.controller.state.txn({path: entry.stamp}, {path: value})
-            self.controller.machines.wrote(path, value, stamp)
-        except (Conflict, Unavailable) as why:
-            log.debug("machine %s not written: %s", name, why)
+    async def _write_all(self, records: dict[str, tuple[int, dict[str, Any] | None]], urgent: bool = True) -> list[str]:
+        """Write machines' records (None deletes) that still have the stamps given, many to a transaction; those written."""
+        names = list(records)
+        written: list[str] = []
+        most = max(1, min(self.controller.shared.state.txn_ops, int(self.controller.state.writes.per_s / 2)))
+        for at in range(0, len(names), most):
+            written += await self._write_some({name: records[name] for name in names[at : at + most]}, urgent)
+        return written
 
-    async def _assign(self, name: str, to: str) -> None:
-        entry = self._entry(name)
-        if entry and entry.value["p"] == "" and not entry.value.get("x"):
-            log.info("machine %s goes from the pool to %s", name, to)
-            await self._write(name, entry, {**entry.value, "p": to})
+    async def _write_some(self, records: dict[str, tuple[int, dict[str, Any] | None]], urgent: bool) -> list[str]:
+        state = self.controller.state
+        left = dict(records)
+        while left:
+            try:
+                when = {f"machine/{name}": stamp for name, (stamp, _) in left.items()}
+                revision = await state.txn(when, {f"machine/{name}": value for name, (_, value) in left.items()}, urgent=urgent)
+            except Conflict as why:
+                # Somebody was quicker with some of them: the others are written without.
+                lost = {path.split("/", 1)[1] for path in why.failed} & set(left)
+                log.debug("machines changed meanwhile: %s", ",".join(sorted(lost)))
+                if not lost:
+                    return []
+                left = {name: record for name, record in left.items() if name not in lost}
+                continue
+            for name, (_, value) in left.items():
+                self.controller.machines.wrote(f"machine/{name}", value, revision)
+            return list(left)
+        return []
+
+    async def _assign(self, lend: dict[str, str]) -> None:
+        records: dict[str, tuple[int, dict[str, Any] | None]] = {}
+        for name, to in lend.items():
+            entry = self._entry(name)
+            if entry and entry.value["p"] == "" and not entry.value.get("x"):
+                records[name] = (entry.stamp, {**entry.value, "p": to})
+            elif entry is None and name in self.strays:
+                report, _ = self.strays.pop(name)
+                value = self._value(report.hull, report.yard, report.loaners, report.address, to, self.controller.now())
+                records[name] = (0, {**value, "n": report.tenure})  # known to be up, and in which session
+        try:
+            for name in await self._write_all(records):
+                log.info("machine %s goes from the pool to %s", name, lend[name])
+        except Unavailable as why:
+            log.debug("not lent: %s", why)
 
     async def _mark(self, name: str, why: str) -> None:
-        """Give a machine up durably before it is released, so that nobody lends it meanwhile."""
-        entry = self._entry(name)
-        if entry and not entry.value.get("x"):
-            await self._write(name, entry, {**entry.value, "x": why})
+        await self._mark_all([name], why)
+
+    async def _mark_all(self, names: list[str], why: str) -> None:
+        """Give machines up durably before they are released, so that nobody lends them meanwhile."""
+        records: dict[str, tuple[int, dict[str, Any] | None]] = {}
+        for name in names:
+            entry = self._entry(name)
+            if entry and not entry.value.get("x"):
+                records[name] = (entry.stamp, {**entry.value, "x": why})
+        try:
+            await self._write_all(records)
+        except Unavailable as trouble:
+            log.debug("not given up: %s", trouble)
 
     # -- renting ---------------------------------------------------------------------------------------
 
@@ -140,7 +195,7 @@
         # Unique for good: no other process has led with this stamp, and in ours the number only grows.
         name = f"{controller.label}.{self.stamp}.{controller.charters}"
         path = f"charter/{name}"
-        value = {"team": rent.team, "t": rent.type, "z": rent.zone, "s": rent.spot, "n": rent.number}
+        value = {"teams": [list(team) for team in rent.teams], "t": rent.type, "z": rent.zone, "s": rent.spot}
         self.renting_names.add(name)
         try:
             stamp = await controller.state.txn({path: 0, "leader": self.stamp}, {path: value})
@@ -149,15 +204,16 @@
             self.renting_names.discard(name)
             self.allotment.not_rented(rent, controller.now(), no_capacity=False)
             return
-        await self._carry_out(name, value, stamp, rent)
+        await self._carry_out(name, value, stamp, ours=rent)
 
-    async def _carry_out(self, name: str, value: dict[str, Any], stamp: int, rent: Rent | None) -> None:
+    async def _carry_out(self, name: str, value: dict[str, Any], stamp: int, ours: Rent | None) -> None:
         controller = self.controller
         names: list[str] | None = None
         refused = False
+        rent = rent_of(value)
         for _ in range(5):
             try:
-                names = await controller.cloud.rent(name, value["t"], value["z"], value["s"], value["n"])
+                names = await controller.cloud.rent(name, rent.type, rent.zone, rent.spot, rent.number)
                 break
             except NoCapacity:
                 refused = True
@@ -166,35 +222,34 @@
                 # The name makes a repeated request harmless: it rents nothing twice.
                 log.debug("charter %s: %s", name, why)
                 await asyncio.sleep(controller.workers.lease_s / 10)
-        log.info("charter %s: %s of %s %s in %s for %s: %s", name, value["n"], "spot" if value["s"] else "ordinary",
-                 value["t"], value["z"], value["team"], names or ("no capacity" if refused else "no answer"))  # fmt: skip
+        log.info("charter %s: %s of %s %s in %s for %s: %s", name, rent.number, "spot" if rent.spot else "ordinary", rent.type,
+                 rent.zone, ",".join(team for team, _ in rent.teams), names or ("no capacity" if refused else "no answer"))  # fmt: skip
         now = controller.now()
-        for machine in names or []:
-            await self._record(machine, value, now)
-        if rent:
-            if names is None:
-                self.allotment.not_rented(rent, now, refused)
-            else:
-                self.allotment.rented(rent, names, now)
+        if ours and names is not None:
+            self.allotment.rented(ours, names, now)
+        if names:
+            await self._record(rent, names, now)
+        if ours and names is None:
+            self.allotment.not_rented(ours, now, refused)
         self.renting_names.discard(name)
         try:
             await controller.state.txn({f"charter/{name}": stamp}, {f"charter/{name}": None}, urgent=False)
         except (Conflict, Unavailable) as why:
             log.debug("charter %s not removed: %s", name, why)
 
-    async def _record(self, machine: str, value: dict[str, Any], now: float) -> None:
-        path = f"machine/{machine}"
-        record = {"t": value["t"], "z": value["z"], "s": value["s"], "a": "", "p": value["team"], "at": round(now, 3)}
+    async def _record(self, rent: Rent, names: list[str], now: float) -> None:
+        """One that was quicker than our note of it is recorded already, and in the pool or lent."""
+        left = {
+            name: (0, self._value(rent.type, rent.zone, rent.spot, "", team, now))
+            for name, team in rent.allotted(names)
+        }  # fmt: skip
         for _ in range(3):
             try:
-                stamp = await self.controller.state.txn({path: 0}, {path: record})
-                self.controller.machines.wrote(path, record, stamp)
-                return
-            except Conflict:
-                # It was quicker than our note of it, and is in the pool already.
+                await self._write_all(left)  # type: ignore[arg-type]
                 return
             except Unavailable:
                 await asyncio.sleep(self.controller.tick_s)
+                left = {name: record for name, record in left.items() if self._entry(name) is None}
 
     async def _finish_charters(self) -> float | None:
         """What an earlier leader set out to rent: the same request again tells what came of it."""
@@ -215,26 +270,35 @@
             doomed = doomed[: min(100, controller.shared.state.txn_ops)]
             await controller.cloud.release([name for name, _ in doomed])
             now = controller.now()
-            for name, stamp in doomed:
-                self.released[name] = now
-                path = f"machine/{name}"
-                try:
-                    revision = await controller.state.txn({path: stamp}, {path: None})
-                    controller.machines.wrote(path, None, revision)
-                except Conflict:
-                    log.debug("machine %s changed while it was released", name)
+            self.released.update((name, now) for name, _ in doomed)
+            await self._write_all({name: (stamp, None) for name, stamp in doomed})
             log.info("released %s", ",".join(name for name, _ in doomed))
         await self._adopt_strays()
-        return controller.tick_s
+        return max(controller.tick_s, 1 / controller.shared.cloud.rps)
 
     def stray(self, report: Report) -> None:
-        if len(self.strays) < 1000:
-            self.strays[report.berth] = report
+        now = self.controller.now()
+        if len(self.strays) < 2000 and report.hull in self.controller.catalog and not self._late(report.berth, now):
+            _, since = self.strays.get(report.berth, (None, now))
+            self.strays[report.berth] = (report, since)
+
+    def _late(self, name: str, now: float) -> bool:
+        """Whether it may be a word of a machine that was released a moment ago."""
+        return now - self.released.get(name, -1e9) < 4 * self.controller.shared.cloud.list_lag_s + self.controller.workers.lease_s
+
+    @staticmethod
+    def _value(kind: str, zone: str, spot: bool, where: str, part: str, now: float) -> dict[str, Any]:
+        return {"t": kind, "z": zone, "s": spot, "a": where, "p": part, "at": round(now, 3)}
 
     async def _adopt_strays(self) -> None:
-        strays, self.strays = self.strays, {}
-        for name, report in strays.items():
-            await self._adopt(name, report.hull, report.yard, report.loaners, report.address)
+        """What nobody has wanted for a while is recorded all the same: nothing unrecorded is ever returned."""
+        now = self.controller.now()
+        for name, (report, since) in list(self.strays.items()):
+            if self._entry(name) is not None:
+                del self.strays[name]
+            elif now - since > self.allotment.settle_s:
+                del self.strays[name]
+                await self._adopt(name, report.hull, report.yard, report.loaners, report.address)
 
     async def _adopt(self, name: str, kind: str, zone: str, spot: bool, where: str) -> None:
         path = f"machine/{name}"
@@ -242,9 +306,9 @@
         now = controller.now()
         if path in controller.machines.entries or kind not in controller.catalog:
             return
-        if now - self.released.get(name, -1e9) < 4 * controller.shared.cloud.list_lag_s + controller.workers.lease_s:
+        if self._late(name, now):
             return
-        value = {"t": kind, "z": zone, "s": spot, "a": where, "p": "", "at": round(now, 3)}
+        value = self._value(kind, zone, spot, where, "", now)
         try:
             stamp = await controller.state.txn({path: 0}, {path: value})
             log.info("machine %s adopted", name)
--- a/ashdock/net/cloud.py
+++ b/ashdock/net/cloud.py
@@ -35,7 +35,7 @@
     def __init__(self, host: str, port: int, shared: Shared) -> None:
         self.client = Client(host, port, keep=4)
         # Mostly the leader alone calls; the rest of the limit is left to one that has not heard yet that it is none.
-        self.budget = Budget(shared.cloud.rps * 0.6, burst_s=1.0)
+        self.budget = Budget(shared.cloud.rps * 0.8, burst_s=1.0)
         self.timeout = shared.workers.lease_s / 2
 
     async def _call(self, method: str, target: str, body: bytes = b"", urgent: bool = True) -> tuple[int, bytes]:
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Struct
 
-from ashdock.net.budget import Budget
+from ashdock.net.budget import Budget, Demand, shares
 from ashdock.net.http import Client, NoAnswer
 from ashdock.settings import Shared
 
@@ -95,13 +95,25 @@
     def __init__(self, host: str, port: int, shared: Shared) -> None:
         self.client = Client(host, port, keep=12)
         self.watcher = Client(host, port, keep=8)
-        share = 1.0 / shared.size
-        self.requests = Budget(shared.state.rps * share * 0.9)
-        self.writes = Budget(shared.state.write_rps * share * 0.9)
+        self.size = shared.size
+        # A tenth is left for what is in flight while the shares are told anew.
+        self.all = Demand(shared.state.rps * 0.9, shared.state.write_rps * 0.9)
+        self.requests = Budget(self.all.requests / self.size)
+        self.writes = Budget(self.all.writes / self.size)
         self.timeout = shared.workers.lease_s / 5
         self.ok_at = time.monotonic()  # when it last answered us properly
         self.bad_since: float | None = None
 
+    @property
+    def demand(self) -> Demand:
+        return Demand(self.requests.demand, self.writes.demand)
+
+    def share_with(self, others: list[Demand | None]) -> None:
+        """Whoever leads, or owns the larger part, has more to write than the rest: shares follow demand."""
+        ours = self.demand
+        self.requests.per_s = shares(self.all.requests, self.size, ours.requests, [other and other.requests for other in others])
+        self.writes.per_s = shares(self.all.writes, self.size, ours.writes, [other and other.writes for other in others])
+
     @property
     def silent_for(self) -> float:
         return time.monotonic() - self.ok_at
@@ -266,6 +278,9 @@
                         self._apply(change.delete, None, change.stamp)
                 self.ledger = max(self.ledger, ledger)
                 pause = 0.05
+                if news:
+                    # Each watch opened is a request: where changes come by the dozen a second, they are taken by the bunch.
+                    await asyncio.sleep(4 / self.state.all.requests * self.state.size)
             except Expired:
                 self.ready.clear()
                 if self.on_gap:
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -13,7 +13,7 @@
 from ashdock.core.part import Busy, Picture, Recalled, Want
 
 MAGIC = b"AD"
-VERSION = 1
+VERSION = 2
 HEAD = struct.Struct("!2sBBI")
 MOST = 512 * 1024
 
@@ -23,7 +23,7 @@
 F64 = struct.Struct("!d")
 WANT = struct.Struct("!dddIB??dBI")  # cpus gpus memory tasks priority spot together slack guaranteed whole
 BUSY = struct.Struct("!Bd")  # priority, loss
-BEAT = struct.Struct("!Qdd??")  # incarnation, age of the state's last answer, of the last worker's; ready, leader
+BEAT = struct.Struct("!Qdd??dd")  # incarnation, age of the state's last answer, of the last worker's; ready, leader; demand
 
 
 class BadFrame(Exception):
@@ -52,6 +52,8 @@
     worker_age: float
     ready: bool
     leader: bool
+    requests: float = 0.0  # asked of the state service a second
+    writes: float = 0.0
 
 
 class Yield(NamedTuple):
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -297,6 +297,7 @@
         assert max(took for _, took in answers) < 1.0
         statuses = await asyncio.gather(*(service.submit(run) for run in runs[:120]))
         assert all(status in (200, 201) for status in statuses)
+        assert await service.until_final([run["id"] for run in runs[:20]], 120) == []
 
     play(monkeypatch, 12, day)
 
