--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -13,7 +13,7 @@
 from ashdock.core.part import Part, Picture, Recalled
 from ashdock.front import Front
 from ashdock.leader import Leader
-from ashdock.net.budget import Demand
+from ashdock.net.budget import Demand, Turn
 from ashdock.net.cloud import CloudClient, CloudTrouble
 from ashdock.net.http import Server
 from ashdock.net.mesh import Mesh
@@ -240,13 +240,16 @@
                 if entry:
                     self.catalog.update(msgspec.convert(entry.value, dict[str, MachineType]))
             return self.tick_s * 4
-        if self.leader or not await self.state.get("catalog", urgent=False):
+        if self.leader or not await self.state.get("catalog", turn=Turn.PATIENT):
             value = msgspec.to_builtins(self.catalog)
-            await self.state.txn({}, {"catalog": value}, urgent=False)
+            await self.state.txn({}, {"catalog": value}, turn=Turn.PATIENT)
         return 60.0
 
     # -- ownership ---------------------------------------------------------------------------------------------------
 
+    def others_may_return(self) -> bool:
+        return time.monotonic() - self.started < self.ttl_s / 2
+
     def owner_label(self, team: str) -> str | None:
         entry = self.parts.entries.get(f"part/{team}")
         return entry.value["owner"] if entry else None
@@ -268,6 +271,10 @@
             else:
                 orphans.append(team)
         heirs: dict[str, str] = {}
+        # Where all have ended together, the first one back used to take every part a moment before their owners were
+        # back: just started, we leave those of others a little time.
+        if self.others_may_return():
+            orphans = [team for team in orphans if self.owner_label(team.name) in (None, self.label)]
         for team in orphans:
             heir = min(load, key=lambda label: (load[label], label))
             load[heir] += 1
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -14,6 +14,7 @@
 from ashdock.core.job import job_record
 from ashdock.core.machine import capacity
 from ashdock.core.quota import can_ever
+from ashdock.net.budget import Turn
 from ashdock.net.http import Answer, Request
 from ashdock.net.state import Conflict, Entry, Unavailable
 from ashdock.wire import messages
@@ -76,7 +77,7 @@
             return error(503, "the machine types are not known yet", 1)
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
-        behind = controller.state.writes.behind_s
+        behind = controller.state.writes.behind_s(Turn.USER)
         if behind > PATIENCE_S:
             # More than the state service lets us write: said at once, since the user would only wait here for nothing.
             return error(429, "too many submissions at once", 1 + int(behind))
@@ -93,7 +94,7 @@
         path = f"job/{spec.id}"
         writes = {path: record, f"work/{spec.team}/{spec.id}/job": record}
         try:
-            stamp = await self._bounded(controller.state.txn({path: 0}, writes))
+            stamp = await self._bounded(controller.state.txn({path: 0}, writes, turn=Turn.USER))
         except Conflict:
             try:
                 entry = await self._read(spec.id)
@@ -164,7 +165,7 @@
                 path = entry.path
                 head = f"work/{record['spec']['team']}/{job_id}/job"
                 # Durable first. Every start names the job's stamp, so none can be committed after this.
-                stamp = await self._bounded(controller.state.txn({path: entry.stamp}, {path: record, head: record}))
+                stamp = await self._bounded(controller.state.txn({path: entry.stamp}, {path: record, head: record}, turn=Turn.USER))
                 log.info("job %s withdrawn", job_id)
                 controller.jobs_seen(path, record, stamp)
             except Conflict:
@@ -202,7 +203,7 @@
         # Only readers who come before the request is sent share it: an answer on its way may be too old.
         await asyncio.sleep(0)
         self.reads.pop(job_id, None)
-        return await self.controller.state.get(f"job/{job_id}")
+        return await self.controller.state.get(f"job/{job_id}", turn=Turn.USER)
 
     def saw(self, job_id: str, value: dict[str, Any]) -> None:
         if value["status"] in ("done", "withdrawn"):
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -8,6 +8,7 @@
 
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.part import Picture, Recalled
+from ashdock.net.budget import Turn
 from ashdock.net.cloud import CloudTrouble, NoCapacity
 from ashdock.net.state import Conflict, Entry, Unavailable
 from ashdock.wire.frames import Give, Yield
@@ -127,22 +128,22 @@
     def _entry(self, name: str) -> Entry | None:
         return self.controller.machines.entries.get(f"machine/{name}")
 
-    async def _write_all(self, records: dict[str, tuple[int, dict[str, Any] | None]], urgent: bool = True) -> list[str]:
+    async def _write_all(self, records: dict[str, tuple[int, dict[str, Any] | None]]) -> list[str]:
         """Write machines' records (None deletes) that still have the stamps given, many to a transaction; those written."""
         names = list(records)
         written: list[str] = []
         most = max(1, min(self.controller.shared.state.txn_ops, int(self.controller.state.writes.per_s / 2)))
         for at in range(0, len(names), most):
-            written += await self._write_some({name: records[name] for name in names[at : at + most]}, urgent)
+            written += await self._write_some({name: records[name] for name in names[at : at + most]})
         return written
 
-    async def _write_some(self, records: dict[str, tuple[int, dict[str, Any] | None]], urgent: bool) -> list[str]:
+    async def _write_some(self, records: dict[str, tuple[int, dict[str, Any] | None]]) -> list[str]:
         state = self.controller.state
         left = dict(records)
         while left:
             try:
                 when = {f"machine/{name}": stamp for name, (stamp, _) in left.items()}
-                revision = await state.txn(when, {f"machine/{name}": value for name, (_, value) in left.items()}, urgent=urgent)
+                revision = await state.txn(when, {f"machine/{name}": value for name, (_, value) in left.items()})
             except Conflict as why:
                 # Somebody was quicker with some of them: the others are written without.
                 lost = {path.split("/", 1)[1] for path in why.failed} & set(left)
@@ -233,7 +234,7 @@
             self.allotment.not_rented(ours, now, refused)
         self.renting_names.discard(name)
         try:
-            await controller.state.txn({f"charter/{name}": stamp}, {f"charter/{name}": None}, urgent=False)
+            await controller.state.txn({f"charter/{name}": stamp}, {f"charter/{name}": None}, turn=Turn.PATIENT)
         except (Conflict, Unavailable) as why:
             log.debug("charter %s not removed: %s", name, why)
 
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -6,9 +6,18 @@
 import time
 from collections import deque
 from collections.abc import Sequence
+from enum import IntEnum
 from typing import NamedTuple
 
 
+class Turn(IntEnum):
+    """Who goes first. One of four turns goes to the next line all the same, so that none waits for ever."""
+
+    USER = 0  # somebody waits for the answer
+    WORK = 1  # starts, outcomes and machines
+    PATIENT = 2  # what only tidies up
+
+
 class Demand(NamedTuple):
     """What a controller asks of the state service a second, as it tells the others."""
 
@@ -17,20 +26,17 @@
 
 
 class Budget:
-    """A bucket that holds `burst_s` seconds' worth, granted in turn. What users notice goes first and may empty
-    it; the rest leaves a reserve, but has every fourth turn, so that it comes to its end under any load."""
+    """A bucket that holds `burst_s` seconds' worth, granted in turn. What can wait leaves a reserve."""
 
     def __init__(self, per_s: float, burst_s: float = 1.0, reserve: float = 0.3) -> None:
         self.per_s = per_s
         self.burst_s = burst_s
         self.reserve = reserve
         self.left = self.most
-        self.queued = 0.0  # asked for and not yet granted
         self.used = 0.0  # granted of late, fading by the second
         self.at = time.monotonic()
-        self.urgent: deque[tuple[float, asyncio.Future[None]]] = deque()
-        self.patient: deque[tuple[float, asyncio.Future[None]]] = deque()
-        self.turns = 0  # of urgent ones since the last patient one
+        self.lines: dict[Turn, deque[tuple[float, asyncio.Future[None]]]] = {turn: deque() for turn in Turn}
+        self.passed = dict.fromkeys(Turn, 0)  # how often those of a line have been passed over since its last turn
         self.pump: asyncio.Task[None] | None = None
 
     @property
@@ -44,10 +50,10 @@
         self.used *= 0.5 ** (past / 2)
         self.at = now
 
-    def take(self, amount: float = 1.0, urgent: bool = True) -> float:
+    def take(self, amount: float = 1.0, turn: Turn = Turn.WORK) -> float:
         """0 if taken, else the seconds to wait before asking again."""
         self._refill()
-        floor = 0.0 if urgent else self.most * self.reserve
+        floor = self.most * self.reserve if turn is Turn.PATIENT else 0.0
         need = min(min(amount, self.most) + floor, self.most)
         if self.left >= need - 1e-9:
             self.left -= amount
@@ -55,38 +61,42 @@
             return 0.0
         return max((need - self.left) / self.per_s, 0.001)
 
-    async def wait(self, amount: float = 1.0, urgent: bool = True) -> None:
+    async def wait(self, amount: float = 1.0, turn: Turn = Turn.WORK) -> None:
         """In turn: a large transaction used to be overtaken for ever by small ones."""
-        if not self.urgent and not self.patient and self.take(amount, urgent) == 0:
+        if not any(self.lines.values()) and self.take(amount, turn) == 0:
             return
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        (self.urgent if urgent else self.patient).append((amount, future))
-        self.queued += amount
+        self.lines[turn].append((amount, future))
         if self.pump is None or self.pump.done():
             self.pump = asyncio.create_task(self._grant())
-        try:
-            await future
-        finally:
-            self.queued -= amount
+        await future
+
+    def _next(self) -> Turn | None:
+        waiting = [turn for turn, line in self.lines.items() if line]
+        overdue = [turn for turn in waiting if self.passed[turn] >= 3]
+        return next(iter(overdue or waiting), None)
 
     async def _grant(self) -> None:
-        while self.urgent or self.patient:
-            patient = bool(self.patient) and (not self.urgent or self.turns >= 3)
-            line = self.patient if patient else self.urgent
-            amount, future = line[0]
+        while (turn := self._next()) is not None:
+            amount, future = self.lines[turn][0]
             if not future.done():  # else whoever asked has given up
-                pause = self.take(amount, urgent=not patient or self.turns >= 3)
+                pause = self.take(amount, turn if self.passed[turn] < 3 else Turn.WORK)
                 if pause > 0:
-                    await asyncio.sleep(min(pause, 0.1))  # the share may grow meanwhile
+                    await asyncio.sleep(min(pause, 0.1))  # the share may grow, or a better one come, meanwhile
                     continue
                 future.set_result(None)
-                self.turns = 0 if patient else self.turns + 1
-            line.remove((amount, future))
+                for other, line in self.lines.items():
+                    self.passed[other] = self.passed[other] + 1 if line and other > turn else 0
+            self.lines[turn].remove((amount, future))
 
     @property
-    def behind_s(self) -> float:
-        """How long what is queued will take."""
-        return max(0.0, (self.queued - self.left) / self.per_s)
+    def queued(self) -> float:
+        return sum(amount for line in self.lines.values() for amount, future in line if not future.done())
+
+    def behind_s(self, turn: Turn = Turn.PATIENT) -> float:
+        """How long what is queued up to such a turn will take."""
+        queued = sum(amount for line in self.lines if line <= turn for amount, future in self.lines[line] if not future.done())
+        return max(0.0, (queued - self.left) / self.per_s)
 
     @property
     def demand(self) -> float:
--- a/ashdock/net/cloud.py
+++ b/ashdock/net/cloud.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ashdock.net.budget import Budget
+from ashdock.net.budget import Budget, Turn
 from ashdock.net.http import Client, NoAnswer
 from ashdock.settings import Shared
 from ashdock.wire.messages import Catalog, Host, Hosts, MachineType, Rented
@@ -38,8 +38,8 @@
         self.budget = Budget(shared.cloud.rps * 0.8, burst_s=1.0)
         self.timeout = shared.workers.lease_s / 2
 
-    async def _call(self, method: str, target: str, body: bytes = b"", urgent: bool = True) -> tuple[int, bytes]:
-        await self.budget.wait(1, urgent)
+    async def _call(self, method: str, target: str, body: bytes = b"", turn: Turn = Turn.WORK) -> tuple[int, bytes]:
+        await self.budget.wait(1, turn)
         try:
             status, answer = await self.client.request(method, target, body, self.timeout)
         except NoAnswer as why:
@@ -78,7 +78,7 @@
         out: list[Host] = []
         after = ""
         while True:
-            status, answer = await self._call("GET", f"/hosts?from={quote(after)}&most=500", urgent=False)
+            status, answer = await self._call("GET", f"/hosts?from={quote(after)}&most=500", turn=Turn.PATIENT)
             if status != 200:
                 raise CloudTrouble(f"status {status}", False)
             try:
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Struct
 
-from ashdock.net.budget import Budget, Demand, shares
+from ashdock.net.budget import Budget, Demand, Turn, shares
 from ashdock.net.http import Client, NoAnswer
 from ashdock.settings import Shared
 
@@ -149,8 +149,8 @@
         except msgspec.DecodeError as why:
             raise Unavailable(f"answer not understood: {why}", unknown=True) from None
 
-    async def get(self, path: str, urgent: bool = True) -> Entry | None:
-        await self.requests.wait(1, urgent)
+    async def get(self, path: str, turn: Turn = Turn.WORK) -> Entry | None:
+        await self.requests.wait(1, turn)
         status, answer = await self._call("GET", f"/store/{path}")
         if status == 404:
             return None
@@ -159,13 +159,13 @@
         entry = self._decode(_entry, answer)
         return Entry(path, entry.value, entry.stamp)
 
-    async def under(self, under: str, urgent: bool = True) -> tuple[list[Entry], int]:
+    async def under(self, under: str, turn: Turn = Turn.WORK) -> tuple[list[Entry], int]:
         """All keys with the prefix, and a revision that the whole list takes in or precedes."""
         out: list[Entry] = []
         after = ""
         ledger: int | None = None
         while True:
-            await self.requests.wait(1, urgent)
+            await self.requests.wait(1, turn)
             target = f"/store?under={under}&most=500" + (f"&from={after}" if after else "")
             status, answer = await self._call("GET", target)
             if status != 200:
@@ -178,11 +178,11 @@
             after = page.entries[-1].path
 
     async def txn(
-        self, when: dict[str, int], writes: dict[str, Any], hold: int | None = None, urgent: bool = True
+        self, when: dict[str, int], writes: dict[str, Any], hold: int | None = None, turn: Turn = Turn.WORK
     ) -> int:
         """Apply the writes (None deletes) if every stamp holds. The revision, or Conflict or Unavailable."""
-        await self.writes.wait(len(writes), urgent)
-        await self.requests.wait(1, urgent)
+        await self.writes.wait(len(writes), turn)
+        await self.requests.wait(1, turn)
         body: dict[str, Any] = {"when": [{"path": path, "stamp": stamp} for path, stamp in when.items()]}
         if writes:
             body["writes"] = [self._write(path, value, hold) for path, value in writes.items()]
@@ -205,7 +205,7 @@
         return write
 
     async def hold(self, ttl_ms: int) -> int:
-        await self.requests.wait(1)
+        await self.requests.wait(1, Turn.USER)
         status, answer = await self._call("POST", "/holds", msgspec.json.encode({"ttl_ms": ttl_ms}))
         if status != 200:
             raise Unavailable(f"status {status}")
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -11,6 +11,7 @@
 
 from ashdock.core.machine import Machine
 from ashdock.core.part import Part
+from ashdock.net.budget import Turn
 from ashdock.net.http import NoAnswer
 from ashdock.net.state import Conflict, Unavailable
 from ashdock.settings import Team
@@ -193,7 +194,7 @@
             if txn is None or self.phase is not OwnerPhase.ACTIVE:
                 return
             try:
-                revision = await state.txn(txn.when, txn.writes, urgent=txn.urgent)
+                revision = await state.txn(txn.when, txn.writes, turn=Turn.WORK if txn.urgent else Turn.PATIENT)
             except Conflict as why:
                 if not await self._reread(part, why.failed):
                     return
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ashdock.net.budget import Budget, shares
+from ashdock.net.budget import Budget, Turn, shares
 from tests import simtime
 
 
@@ -35,21 +35,23 @@
     assert simtime.run(main, 1, monkeypatch) < 3.0
 
 
-ORDER = [  # (amount, urgent) asked at once of an empty bucket of 10 a second -> the order in which they are granted
-    ([(1, True), (1, True)], [0, 1]), ([(1, False), (1, True)], [1, 0]), ([(10, True), (1, True)], [0, 1]),
-    ([(1, False), (1, True), (1, True), (1, True), (1, True)], [1, 2, 3, 0, 4]),
+USER, WORK, PATIENT = Turn
+ORDER = [  # (amount, turn) asked at once of an empty bucket of 10 a second -> the order in which they are granted
+    ([(1, WORK), (1, WORK)], [0, 1]), ([(1, PATIENT), (1, WORK)], [1, 0]), ([(10, WORK), (1, WORK)], [0, 1]),
+    ([(10, WORK), (1, USER)], [1, 0]), ([(1, PATIENT), (1, WORK), (1, WORK), (1, WORK), (1, WORK)], [1, 2, 3, 0, 4]),
+    ([(1, WORK), (1, USER), (1, USER), (1, USER), (1, USER)], [1, 2, 3, 0, 4]),
 ]  # fmt: skip
 
 
 @pytest.mark.parametrize(("asked", "order"), ORDER)
-def test_turns(asked: list[tuple[float, bool]], order: list[int], monkeypatch: pytest.MonkeyPatch) -> None:
+def test_turns(asked: list[tuple[float, Turn]], order: list[int], monkeypatch: pytest.MonkeyPatch) -> None:
     async def main(net: simtime.Net) -> list[int]:
         budget = Budget(10.0)
         budget.take(10.0)
         granted: list[int] = []
 
-        async def one(n: int, amount: float, urgent: bool) -> None:
-            await budget.wait(amount, urgent)
+        async def one(n: int, amount: float, turn: Turn) -> None:
+            await budget.wait(amount, turn)
             granted.append(n)
 
         await asyncio.gather(*(one(n, *what) for n, what in enumerate(asked)))
