--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -322,7 +322,8 @@
 
     def _job_news(self, part: Part, job_id: str, value: Any, stamp: int) -> None:
         if job_id not in part.jobs and not self.front.is_final(job_id):
-            part.add_job(value if isinstance(value["spec"], dict) else msgspec.to_builtins(value), stamp)
+            job = part.add_job(value if isinstance(value["spec"], dict) else msgspec.to_builtins(value), stamp)
+            part.came(job, self.now())
 
     # -- the mesh ------------------------------------------------------------------------------------------------------------
 
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -62,6 +62,7 @@
         self.avoid: dict[str, float] = {}  # machine: until when this job had better not go there
         self.preempted_at = -math.inf  # when work of its team was last stopped for it
         self.cleared = 0  # and on how many machines
+        self.started_at: float | None = None  # when a task of it was first seen running, by this owner
         self.listener: dict[str, Job] = {}  # its part's jobs with something to write: it enters itself there
 
     def changed(self) -> None:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -10,6 +10,7 @@
 import logging
 import math
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -18,7 +19,7 @@
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
 from ashdock.core.job import Job, JobPhase, chunk_size
-from ashdock.core.machine import Machine, MachinePhase
+from ashdock.core.machine import Machine, MachinePhase, capacity
 from ashdock.core.quota import Usage, guaranteed
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.settings import Operators, Shared, Team
@@ -143,6 +144,7 @@
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
+        self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
 
     # -- taking over --------------------------------------------------------------------------
 
@@ -413,6 +415,8 @@
                 self._ended(machine, placement, found, now)
             else:
                 placement.held(found.status, report.tenure, now)
+                if placement.running_at == now:
+                    self._runs(placement, now)
                 if found.status != "pulling":
                     machine.images[self.jobs[placement.job].spec.image] = now
         strange: dict[tuple[str, int], int] = {}
@@ -433,6 +437,14 @@
         machine.strange = strange
         machine.ended = ended
 
+    def _runs(self, placement: Placement, now: float) -> None:
+        job = self.jobs[placement.job]
+        if job.started_at is None:
+            job.started_at = now
+            waited = placement.placed_at - job.submitted
+            log.info("job %s (%s) runs %.1f s after it was accepted: %.1f s for room, %.1f s on the way",
+                     job.id, job.spec.job_class, now - job.submitted, waited, now - placement.placed_at)  # fmt: skip
+
     def _absent(self, placement: Placement, report: Report) -> bool:
         """Whether a report under our token that lacks the task proves that it is not, and will not be, there."""
         if placement.ordered is not None and (report.tenure, report.tally) <= placement.ordered:
@@ -867,12 +879,39 @@
                 )  # fmt: skip
         return out
 
+    def came(self, job: Job, now: float) -> None:
+        """A new job, and not one read at a takeover: what has come of late tells what is to be expected."""
+        if job.spec.deadline_s is None and job.spec.kind != "service":
+            per = max((capacity(shape, job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for shape in self.catalog.values()), default=1)
+            self.arrived.append((now, -(-job.spec.tasks // max(per, 1)), job.spec))
+
+    def headroom(self, now: float) -> int:
+        """How many empty machines to keep at hand for jobs that are not to wait: one standard deviation of what comes
+        in a boot's time. On the mean, what ends makes room for what comes; it is the swings that would have to wait
+        for a boot, or for other work to save itself."""
+        boot_s = max((shape.boot_s for shape in self.catalog.values()), default=self.workers.lease_s)
+        span = 4 * boot_s  # looked back on
+        while self.arrived and now - self.arrived[0][0] > span:
+            self.arrived.popleft()
+        return round(math.sqrt(sum(size * size for _, size, _ in self.arrived) * boot_s / span))
+
+    def _at_hand(self, idle: list[Machine], now: float) -> set[str]:
+        """The empty machines to keep, within the guarantee only; those that hold most images first."""
+        keep = self.headroom(now) if idle else 0
+        out: set[str] = set()
+        cpus, gpus = self.usage.cpus, self.usage.gpus
+        for machine in sorted(idle, key=lambda m: (-len(m.images), m.name)) if keep else ():
+            cpus, gpus = cpus + machine.shape.cpus, gpus + machine.shape.accelerators
+            if len(out) >= keep or not guaranteed(self.team, cpus, gpus):
+                break
+            if any(placing.permits(spec, machine.type, machine.zone, machine.spot) for _, _, spec in self.arrived):
+                out.add(machine.name)
+        return out
+
     def picture(self, now: float) -> Picture:
-        idle = [
-            (m.name, now - m.idle_since)
-            for m in self.machines.values()
-            if m.empty and m.idle_since is not None and m.usable and m.name not in self.reserved
-        ]  # fmt: skip
+        empty = [m for m in self.machines.values() if m.empty and m.idle_since is not None and m.usable and m.name not in self.reserved]
+        kept = self._at_hand(empty, now)
+        idle = [(m.name, now - (m.idle_since or now)) for m in empty if m.name not in kept]
         busy = [
             Busy(m.name, max(self.jobs[p.job].spec.priority for p in m.live.values()), self._machine_loss(m, now))
             for m in self.machines.values()
