--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -165,6 +165,8 @@
                 chunks.setdefault(job_id, []).append((int(tail), value, stamp))
         for job_id, (value, stamp) in heads.items():
             job = self.add_job(value, stamp)
+            if job_id in chunks:
+                job.started_at = now  # or so: an earlier owner saw it start
             for n, chunk, chunk_stamp in chunks.pop(job_id, []):
                 for placement in job.load_chunk(n, chunk, chunk_stamp, now):
                     self._count(job, placement, now)
