--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ashdock.core.part import Part, Picture, Recalled
+from ashdock.core.part import Owed, Part, Picture, Recalled
 from ashdock.front import Front
 from ashdock.leader import Leader
 from ashdock.net.budget import Demand, Turn
@@ -372,7 +372,7 @@
                 out[team] = owner.part.picture(self.now())
         return out
 
-    def to_owner(self, team: str, frame: Yield | Recalled | Give) -> None:
+    def to_owner(self, team: str, frame: Yield | Recalled | Give | Owed) -> None:
         if team in self.owners:
             self._for_part(frame)
         else:
@@ -380,12 +380,14 @@
             if label:
                 self.mesh.send(label, frame)
 
-    def _for_part(self, frame: Yield | Recalled | Give) -> None:
+    def _for_part(self, frame: Yield | Recalled | Give | Owed) -> None:
         owner = self.owners.get(frame.part)
         if owner is None:
             return
         if isinstance(frame, Yield):
             owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()))
+        elif isinstance(frame, Owed):
+            owner.note(lambda part: part.owe(frame, self.now()))
         elif isinstance(frame, Give):
             owner.give_to = frame.to
             owner.wake.set()
@@ -396,7 +398,7 @@
         match frame:
             case Picture():
                 self.remote_pictures[frame.team] = (time.monotonic(), frame)
-            case Yield() | Recalled() | Give():
+            case Yield() | Recalled() | Give() | Owed():
                 self._for_part(frame)
             case Counts(jobs):
                 self.remote_counts[label] = {job: (done, running) for job, done, running in jobs}
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from ashdock.core.machine import capacity, less
-from ashdock.core.part import Busy, Picture, Recalled, Want
+from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
 from ashdock.core.placement import Slots
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
@@ -68,7 +68,7 @@
 
 MOST_RENTED = 50  # in one request
 
-Decision = Rent | Move | Recalled | Release | GivePart
+Decision = Rent | Move | Recalled | Release | GivePart | Owed
 
 
 class Allotment:
@@ -85,6 +85,7 @@
         self.recalling: dict[str, tuple[str, float]] = {}  # machine asked of its part: for which team, and when
         self.pool_since: dict[str, float] = {}
         self.sent_back: set[str] = set()  # to the pool, since nobody wanted them
+        self.owed_at: dict[tuple[str, str], float] = {}  # by whom and to whom: when it was last asked for
         self.barren: set[tuple] = set()  # type: ignore[type-arg]  # kinds of want for which this round has nothing left
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
@@ -149,6 +150,7 @@
         )
         on_the_way = self._virtual(lent)
         rents: dict[tuple[str, str, str, bool], int] = {}
+        unmet: list[tuple[str, Want, int]] = []
         spare = {picture.team: picture.spare_beyond for picture in pictures.values()}
         total = len(lent) + sum(rent.number for rent in self.renting_now)
         self.barren = set()
@@ -181,6 +183,9 @@
                 left -= per
                 if left < 0:
                     on_the_way.setdefault(team, Slots()).add_rest(shape.label, zone, spot, self._rest(shape, want, per + left))
+            if left > 0:
+                unmet.append((team, want, left))
+        out += self._debts(unmet, pictures, lent, now)
         asked = self._requests(rents)
         out += asked
         self.renting_now += asked
@@ -197,6 +202,33 @@
                 alike.setdefault((kind, zone, spot), []).append((team, min(number, room)))
         return [Rent(tuple(teams), *key) for key, teams in alike.items()]
 
+    def _debts(
+        self, unmet: list[tuple[str, Want, int]], pictures: dict[str, Picture], lent: dict[str, Lent], now: float
+    ) -> list[Decision]:  # fmt: skip
+        """Where no more is to be had, like work is served in the order of its waiting, whatever its team: a part
+        whose own work has waited less passes on what comes free. Without this, the machines stayed where they
+        were when the cloud ran out, and one team's gangs waited a minute while another's waited seconds."""
+        out: list[Decision] = []
+        for team, want, left in unmet:
+            lender, most_slack = "", want.slack_s + self.boot_s / 2
+            for part, picture in pictures.items():
+                if part == team or now - self.owed_at.get((part, team), -1e9) < self.settle_s:
+                    continue
+                like = [other for other in picture.wants if other.priority >= want.priority]
+                # A part with no such work waiting has its empty machines lent as it is, but for those kept at hand.
+                if not like or any(other.guaranteed and not want.guaranteed for other in like):
+                    continue
+                slack = min(other.slack_s for other in like)
+                if slack > most_slack and any(
+                    m.part == part and self._suits(want, m.type, m.zone, m.spot) and m.type in self.catalog for m in lent.values()
+                ):
+                    lender, most_slack = part, slack
+            if lender:
+                self.owed_at[lender, team] = now
+                per = max((capacity(shape, want.cpus, want.gpus, want.memory) for shape in self.catalog.values()), default=1)
+                out.append(Owed(lender, team, -(-left // max(per, 1)), want.types, want.zone, want.spot))
+        return out
+
     def _forget_settled(self, lent: dict[str, Lent], pictures: dict[str, Picture], now: float) -> None:
         patience = self.shared.workers.gang_peer_s + 4 * self.shared.workers.report_s
         for name, (team, since) in list(self.recalling.items()):
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -76,6 +76,17 @@
     machines: list[str]
 
 
+class Owed(NamedTuple):
+    """Machines that a part is to pass on as they come free, to a team whose like work has waited longer."""
+
+    part: str
+    to: str
+    number: int
+    types: tuple[str, ...]
+    zone: str
+    spot: bool
+
+
 class Busy(NamedTuple):
     """A machine at work: what stopping it would cost."""
 
@@ -144,6 +155,7 @@
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
+        self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
         self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
 
     # -- taking over --------------------------------------------------------------------------
@@ -718,6 +730,8 @@
         self.stale = False
         short: list[tuple[Job, int, str]] = []
         self.reserved = set()
+        if self.owed:
+            self._pass_on(now)
         look = _Pass(self.machines.values(), now)
         for job in self.waiting(now):
             missing = self._try_place(job, look, now)
@@ -960,6 +974,24 @@
                 self.changing[name] = None
                 self._drain(machine, now)
 
+    def owe(self, order: Owed, now: float) -> None:
+        self.owed[order.to] = (order, now + self.workers.lease_s)
+
+    def _pass_on(self, now: float) -> None:
+        """Nothing is stopped for it: only what has come free goes, before our own work takes it."""
+        for machine in self.machines.values():
+            if machine.live or machine.strange or not machine.usable:
+                continue
+            for to, (order, until) in list(self.owed.items()):
+                if now > until or order.number <= 0:
+                    del self.owed[to]
+                elif (not order.types or machine.type in order.types) and order.zone in ("", machine.zone) and (order.spot or not machine.spot):
+                    machine.to = to
+                    machine.leave(f"passed on to {to}")
+                    self.changing[machine.name] = None
+                    self.owed[to] = (order._replace(number=order.number - 1), until)
+                    break
+
     # -- writing --------------------------------------------------------------------------------
 
     def next_txn(self) -> Txn | None:
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
-from ashdock.core.part import Picture, Recalled
+from ashdock.core.part import Owed, Picture, Recalled
 from ashdock.net.budget import Turn
 from ashdock.net.cloud import CloudTrouble, NoCapacity
 from ashdock.net.state import Conflict, Entry, Unavailable
@@ -115,6 +115,9 @@
                 case Recalled():
                     log.info("team %s is to give %s to %s", decision.part, ",".join(decision.machines), decision.to)
                     controller.to_owner(decision.part, decision)
+                case Owed():
+                    log.info("team %s is to pass on %d to %s as they come free", decision.part, decision.number, decision.to)
+                    controller.to_owner(decision.part, decision)
                 case GivePart(part, to):
                     log.info("part %s is to go to controller %s", part, to)
                     controller.to_owner(part, Give(part, to))
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -10,7 +10,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from ashdock.core.part import Busy, Picture, Recalled, Want
+from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
 
 MAGIC = b"AD"
 VERSION = 2
@@ -22,6 +22,7 @@
 U64 = struct.Struct("!Q")
 F64 = struct.Struct("!d")
 WANT = struct.Struct("!dddIB??dBI")  # cpus gpus memory tasks priority spot together slack guaranteed whole
+OWED = struct.Struct("!I?")  # number, spot
 BUSY = struct.Struct("!Bd")  # priority, loss
 BEAT = struct.Struct("!Qdd??dd")  # incarnation, age of the state's last answer, of the last worker's; ready, leader; demand
 
@@ -40,6 +41,7 @@
     RELAYED = 7
     COUNTS = 8
     GIVE = 9
+    OWED = 10
 
 
 class Hello(NamedTuple):
@@ -84,7 +86,7 @@
     to: str
 
 
-Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give
+Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give | Owed
 
 
 def _text(value: str) -> bytes:
@@ -166,6 +168,9 @@
             return FrameKind.COUNTS, U32.pack(len(jobs)) + rows
         case Give(part, to):
             return FrameKind.GIVE, _text(part) + _text(to)
+        case Owed(part, to, number, types, zone, spot):
+            names = U16.pack(len(types)) + b"".join(map(_text, types))
+            return FrameKind.OWED, _text(part) + _text(to) + OWED.pack(number, spot) + names + _text(zone)
     raise BadFrame(f"no such frame: {frame!r}")
 
 
@@ -238,6 +243,11 @@
         frame = Counts(rows)
     elif kind == FrameKind.GIVE:
         frame = Give(reader.text(), reader.text())
+    elif kind == FrameKind.OWED:
+        part, to = reader.text(), reader.text()
+        number, spot = reader.take(OWED)
+        types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
+        frame = Owed(part, to, number, types, reader.text(), spot)
     else:
         raise BadFrame(f"kind {kind}")
     reader.end()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,7 @@
 from ashdock.core import placement as placing
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
-from ashdock.core.part import Busy, Part, Picture, Recalled, Want
+from ashdock.core.part import Busy, Owed, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
 from ashdock.leader import gone_from
@@ -420,3 +420,51 @@
         slots.add(G4, zone, False)
     got = [slots.take(lambda _label, zone, _spot, want=want: want in ("", zone), (cpus, 0.0, 1.0), n) for cpus, n, want in needs]
     assert got == found
+
+
+DEBTS = [  # red's want and blue's, when the cloud gives nothing -> what blue is to pass on
+    (want(slack_s=-60.0), [want(slack_s=0.0)], [("blue", "red", 1)]), (want(slack_s=-1.0), [want(slack_s=0.0)], []),
+    (want(slack_s=-60.0), [], []), (want(slack_s=-60.0), [want(slack_s=0.0, priority=0)], []),
+    (want(slack_s=-60.0, guaranteed=False), [want(slack_s=0.0)], []), (want(slack_s=-60.0, tasks=9), [want(slack_s=0.0)], [("blue", "red", 3)]),
+    (want(slack_s=-60.0, zone="b"), [want(slack_s=0.0)], []),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("ours", "theirs", "owed"), DEBTS)
+def test_like_work_is_served_in_the_order_of_its_waiting(ours: Want, theirs: list[Want], owed: list[tuple[str, str, int]]) -> None:
+    allotment = Allotment(shared(), Renting(), {"g4": G4})
+    allotment.refused = {("g4", zone, spot): (99.0, 1.0) for zone in "abc" for spot in (False, True)}
+    pictures = {"red": Picture("red", 9, [ours], [], [], 0, 0, 0), "blue": Picture("blue", 9, theirs, [], [Busy("m1", 1, 5.0)], 1, 0, 0)}
+    decisions = allotment.decide([lent("m1", "blue")], pictures, 50.0)
+    assert [(d.part, d.to, d.number) for d in decisions if isinstance(d, Owed)] == owed
+
+
+def test_what_comes_free_is_passed_on_before_own_work_takes_it() -> None:
+    part = part_with([spec(1, shares=1), spec(2, shares=8)], "ab")
+    for tally, machine in enumerate(("vm-0", "vm-1"), 1):
+        part.on_report(report(machine, tally), 1.0, True)
+    part.owe(Owed("red", "blue", 1, (), "b", True), 1.0)
+    part.schedule(1.0)
+    assert part.machines["vm-1"].to == "blue" and not part.machines["vm-1"].live and part.machines["vm-0"].live
+    part.schedule(1.5)
+    assert part.machines["vm-0"].to is None  # one was asked for
+
+
+HEADROOM = [  # sizes of gangs (in machines) that came in the last four boots -> empty machines to keep
+    ([], 0), ([1], 0), ([2, 2, 2, 2], 2), ([4, 4], 3), ([8], 4),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("sizes", "kept"), HEADROOM)
+def test_a_swing_is_kept_at_hand(sizes: list[int], kept: int) -> None:
+    """An empty machine within a guarantee was lent or returned at once, and the next gang waited for a boot."""
+    part = part_with([], "abcabc")
+    for n in range(6):
+        part.on_report(report(f"vm-{n}", 1), 1.0, True)
+    for n, size in enumerate(sizes, 1):
+        gang = part.add_job({"spec": __import__("msgspec").to_builtins(spec(n, shape="ensemble", shares=size, accelerators=4.0)), "at": 1.0, "status": "queued"}, 7)
+        part.came(gang, 1.0)
+    assert part.headroom(2.0) == kept
+    within = min(kept, 2)  # red's guarantee is two machines
+    assert len(part.picture(2.0).idle) == 6 - within
+    assert part.headroom(2.0 + 4 * G4.boot_s) == 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ashdock import cli
-from ashdock.core.part import Busy, Picture, Recalled, Want
+from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
 from ashdock.net.http import Answer, Client, Request, Server
 from ashdock.settings import SettingsError, load, load_operators
 from ashdock.wire import frames
@@ -103,6 +103,7 @@
     Relay(9, b'{"a":1}'), Relayed(9, 503, b""), Counts([("req-1", 3, 4), ("req-2", 0, 0)]),
     Picture("red", 12, [Want(1.0, 2.0, 3.0, ("g4", "g8"), "a", True, False, 5, 2, True, -3.5, "img", 6)], [("vm-9", 2.5)],
             [Busy("vm-8", 3, 4.5)], 4, 5, 6),
+    Owed("red", "blue", 3, ("g4",), "a", True), Owed("red", "blue", 1, (), "", False),
 ]  # fmt: skip
 
 
