--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -40,7 +40,9 @@
         self.tally = 0
         self.warrant = 0
         self.idle_since: float | None = now
-        self.images: dict[str, float] = dict.fromkeys(value.get("i", ()), 0.0)  # seen here, and when last
+        self.images: dict[str, float] = {}  # what its cache holds, as far as we can tell, the last used last: size
+        for image, size in reversed(images_of(value)):
+            self.images[image] = size
         self.ended: set[tuple[str, int, int]] = set()  # reported as ended and not yet forgotten
         self.strange: dict[tuple[str, int], int] = {}  # running here without a placement: attempt
         self.reported = 0  # tasks in the last report
@@ -63,7 +65,7 @@
         value: dict[str, Any] = {"t": self.type, "z": self.zone, "s": self.spot, "a": self.address, "p": part}
         value["at"] = round(self.rented, 3)
         # The next part's owner is told which images it need not wait for.
-        value["i"] = sorted(self.images, key=lambda image: -self.images[image])[:12]
+        value["i"] = [[image, self.images[image]] for image in list(reversed(self.images))[:12]]
         if self.tenure:
             value["n"] = self.tenure  # and can give orders before the worker has found it
         if self.phase is MachinePhase.DOOMED:
@@ -87,6 +89,22 @@
             self.phase = MachinePhase.DOOMED
             self.why = why
 
+    def uses(self, image: str, size: float) -> None:
+        """A task here holds it. The least recently used are taken to be gone once the cache is full: believing that
+        all ever seen were still there, gangs were sent to machines that had to fetch after all."""
+        known = self.images.pop(image, None)
+        self.images[image] = size
+        if known is None:
+            over = sum(self.images.values()) - self.shape.cache_gb
+            for other in list(self.images)[:-1]:
+                if over <= 0:
+                    break
+                over -= self.images.pop(other)
+
+    def lacks(self, image: str) -> None:
+        """It is being fetched."""
+        self.images.pop(image, None)
+
     # -- room --------------------------------------------------------------------------------
 
     def take(self, placement: Placement, cpus: float, gpus: float, memory: float) -> None:
@@ -125,6 +143,11 @@
         return now - (self.last_at if self.last_at is not None else self.since)
 
 
+def images_of(value: dict[str, Any]) -> list[tuple[str, float]]:
+    """From a machine's record, the last used first; versions before wrote only the names."""
+    return [(item, 0.0) if isinstance(item, str) else (item[0], item[1]) for item in value.get("i", ())]
+
+
 def fits(free: Sequence[float], need: Sequence[float]) -> int:
     """How many times a need (of CPUs, GPUs and memory) goes into what is free."""
     most = 1 << 30
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -431,8 +431,11 @@
                 placement.held(found.status, report.tenure, now)
                 if placement.running_at == now:
                     self._runs(placement, now)
-                if found.status != "pulling":
-                    machine.images[self.jobs[placement.job].spec.image] = now
+                spec = self.jobs[placement.job].spec
+                if found.status == "pulling":
+                    machine.lacks(spec.image)
+                else:
+                    machine.uses(spec.image, spec.image_gb)
         strange: dict[tuple[str, int], int] = {}
         for key, item in held.items():
             if item.status == ENDED:
@@ -480,7 +483,7 @@
         cause = item.cause or "error"
         if cause == "done" and job.spec.kind != "service" and job.active:
             machine.failed.clear()
-            machine.images[job.spec.image] = now
+            machine.uses(job.spec.image, job.spec.image_gb)
             self._learn(job, placement, now)
             tasks = range(job.spec.tasks) if job.spec.kind == "gang" else (placement.task,)
             for task in tasks:
@@ -812,7 +815,8 @@
             memory = machine.memory + sum(self.jobs[p.job].spec.memory_gb for p in lower)
             if cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory_gb:
                 continue
-            loss = sum(self._loss(p, now) for p in lower) + placing.fetch_s(spec, machine)
+            # While one of its machines fetches, all of a gang's wait.
+            loss = sum(self._loss(p, now) for p in lower) + placing.fetch_s(spec, machine) * (spec.gpus or spec.cpus) * missing
             victims.append((loss, machine))
         if spec.one_zone and spec.tasks > 1 and not zone:
             by_zone = [victim[1].zone for victim in victims]
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
+from ashdock.core.machine import images_of
 from ashdock.core.part import Owed, Picture, Recalled
 from ashdock.net.budget import Turn
 from ashdock.net.cloud import CloudTrouble, NoCapacity
@@ -89,7 +90,7 @@
         return strays + [
             Lent(
                 e.path.split("/", 1)[1], e.value["p"], e.value["t"], e.value["z"], e.value["s"], e.stamp, e.value.get("x", ""),
-                frozenset(e.value.get("i", ())),
+                frozenset(image for image, _ in images_of(e.value)),
             )
             for e in self.controller.machines.entries.values()
         ]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -468,3 +468,23 @@
     within = min(kept, 2)  # red's guarantee is two machines
     assert len(part.picture(2.0).idle) == 6 - within
     assert part.headroom(2.0 + 4 * G4.boot_s) == 0
+
+
+CACHE = [  # images used in turn with their sizes, in a cache of 80 GB -> what it holds, the last used last
+    ([("a", 30), ("b", 30)], "ab"), ([("a", 30), ("b", 30), ("c", 30)], "bc"), ([("a", 30), ("b", 30), ("a", 30), ("c", 30)], "ac"),
+    ([("a", 90)], "a"), ([("a", 20), ("b", 20), ("c", 20), ("d", 60)], "cd"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("used", "held"), CACHE)
+def test_what_a_cache_holds(used: list[tuple[str, float]], held: str) -> None:
+    """All images ever seen on a machine were taken to be there still, and gangs waited for what it had to fetch again."""
+    machine = part_with([], "a").machines["vm-0"]
+    for image, size in used:
+        machine.uses(image, size)
+    assert "".join(machine.images) == held
+    again = part_with([], "", stamp=50)
+    again.add_machine("vm-0", machine.value("red"), 9, 0.0)
+    assert "".join(again.machines["vm-0"].images) == held
+    machine.lacks(held[-1])
+    assert "".join(machine.images) == held[:-1]
