--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -53,7 +53,6 @@
         # Starts sent directly and not answered may still arrive, even minutes late. They are harmless
         # only once the worker's token is above the one noted here, or its session is over.
         self.outstanding: dict[tuple[str, int, int], int] = {}
-        self.noted = (self.address, int(value.get("n", 0)))  # address and session, as its record has them
         self.bump = False  # its token must rise: a direct start was not answered
         if value.get("n") and value.get("a") and self.phase is MachinePhase.EXPECTED:
             # Lent to us while up. If that is no longer so, its silence shows it.
@@ -73,11 +72,6 @@
             value["x"] = self.why
         return value
 
-    @property
-    def unnoted(self) -> bool:
-        """Whether a next owner could not give it orders before it has reported to it."""
-        return bool(self.tenure) and (self.address, self.tenure) != self.noted
-
     # -- changes of state --------------------------------------------------------------------
 
     def came_up(self, address: str) -> None:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -391,8 +391,6 @@
         if machine.tenure and report.tenure > machine.tenure:
             self._session_over(machine, report, now)
         machine.tenure, machine.tally = report.tenure, report.tally
-        if machine.unnoted:
-            self.changing[machine.name] = None
         machine.outstanding = {key: sent for key, sent in machine.outstanding.items() if sent >= report.warrant}
         if report.recall_s is not None:
             self._recalled(machine, report.recall_s, now)
@@ -1005,7 +1003,6 @@
         # No more at a time than our share of a second: what comes after must not wait longer than that.
         txn = Txn(max(4, min(self.shared.state.txn_ops, int(self.shared.state.write_rps / self.shared.size))))
         later: list[Job] = []
-        unnoted: list[Machine] = []
         for job in list(self.touched.values()):
             if job.id not in self.jobs or not self._unwritten(job):
                 del self.touched[job.id]
@@ -1024,12 +1021,9 @@
                 txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
         for name in list(self.changing):
             machine = self.machines.get(name)
-            if machine is None or not (machine.to is not None or machine.bump or machine.doom_gen or machine.unnoted):
+            if machine is None or (machine.to is None and not machine.bump and not machine.doom_gen):
                 del self.changing[name]
                 continue
-            if machine.to is None and not machine.bump and not machine.doom_gen:
-                unnoted.append(machine)
-                continue
             txn.urgent = True
             self._write_machine(machine, txn)
             if machine.to is not None and machine.ended and not machine.live:
@@ -1037,8 +1031,6 @@
         for job in later:
             if not self._write_job(job, txn):
                 break
-        for machine in unnoted if not txn.urgent else ():
-            self._write_machine(machine, txn)
         while self.leftover and txn.room(1, 100):
             path, stamp = self.leftover.pop()
             txn.put(path, None, stamp)
@@ -1106,18 +1098,15 @@
     def _write_machine(self, machine: Machine, txn: Txn) -> None:
         moves = machine.to is not None and machine.empty and machine.phase is MachinePhase.LEAVING
         bump = machine.bump and any(sent >= self.token(machine) for sent in machine.outstanding.values())
-        if not (moves or bump or machine.doom_gen or machine.unnoted) or not txn.room(1, 300):
+        if not (moves or bump or machine.doom_gen) or not txn.room(1, 300):
             return
         to = machine.to if moves and machine.to is not None else self.name
         txn.put(f"machine/{machine.name}", machine.value(to), machine.stamp)
         txn.bytes += 300
-        noted = (machine.address, machine.tenure)
-        txn.marks.append(lambda revision: self._machine_written(machine, to, noted, revision))
+        txn.marks.append(lambda revision: self._machine_written(machine, to, revision))
 
-    def _machine_written(self, machine: Machine, to: str, noted: tuple[str, int], revision: int) -> None:
+    def _machine_written(self, machine: Machine, to: str, revision: int) -> None:
         machine.stamp = revision
-        machine.noted = noted
-        self.seen = max(self.seen, revision)
         machine.doom_gen = 0
         machine.bump = False
         if to != self.name:
