--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -28,6 +28,7 @@
 log = logging.getLogger("ashdock.part")
 
 ORDERS_AT_ONCE = 200  # keeps an answer to a worker well under 64 KiB
+FETCHES_AHEAD = 4  # how many fetches longer a job may have waited that is overtaken by one whose image is at hand
 MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
 
 
@@ -115,13 +116,24 @@
         self.open: list[Machine] = []
         self.coming = placing.Slots()
         self.barren = placing.Barren()
+        self.images: dict[str, dict[str, int]] = {}  # by image and zone: machines with room that hold it
         for machine in machines:
             if machine.phase is MachinePhase.UP:
                 if machine.cpus > 1e-6 and machine.memory > 1e-6 and machine.usable:
                     self.open.append(machine)
+                    for image in machine.images:
+                        zones = self.images.setdefault(image, {})
+                        zones[machine.zone] = zones.get(machine.zone, 0) + 1
             elif machine.coming(now):
                 self.coming.add(machine.shape, machine.zone, machine.spot)
 
+    def holders(self, spec: Spec, number: int) -> bool:
+        """Whether so many machines with room hold the image, in one zone where the job is to be in one."""
+        zones = self.images.get(spec.image)
+        if not zones:
+            return False
+        return (max(zones.values()) if spec.one_zone else sum(zones.values())) >= number
+
 
 class Part:
     def __init__(
@@ -155,6 +167,7 @@
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
+        self._rank_of: dict[str, tuple[float, ...]] = {}  # of what waits, but for the order within a rank
         self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
         self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
 
@@ -690,14 +703,16 @@
 
     # -- scheduling -----------------------------------------------------------------------------
 
-    def waiting(self, now: float) -> list[Job]:
+    def waiting(self, now: float, look: _Pass | None = None) -> list[Job]:
         out = [
             job
             for job in self.jobs.values()
             if job.active and job.ready and not job.breaking and job.id not in self.strange
             and (job.spec.kind != "gang" or job.ready == job.spec.tasks)
         ]  # fmt: skip
-        out.sort(key=lambda job: self._rank(job, now))
+        ranks = {job.id: self._rank(job, now, look) for job in out}
+        self._rank_of = {job_id: rank[:2] for job_id, rank in ranks.items()}
+        out.sort(key=lambda job: ranks[job.id])
         return out
 
     def slack(self, job: Job, now: float) -> float:
@@ -712,13 +727,17 @@
         aims += [o.within_s for o in self.shared.objectives if o.kind == "guarantee"]
         return min((aim for aim in aims if aim is not None), default=self.workers.lease_s)
 
-    def _rank(self, job: Job, now: float) -> tuple[float, ...]:
+    def _rank(self, job: Job, now: float, look: _Pass | None = None) -> tuple[float, ...]:
         """Priority; then what can still be in time, then what can be in time for the later aim, then the rest.
         Among deadlines the least work comes first: when not all can be met, that way the most are. What is
-        long overdue comes first again, so that nothing starves."""
+        long overdue comes first again, so that nothing starves. What would find its image on the machines that are
+        free goes ahead of what has waited a few fetches longer: where machines are short, fetching wastes them."""
         spec = job.spec
         if spec.deadline_s is None:
-            return (-spec.priority, 0.0, job.submitted - now)
+            ahead = 0.0
+            if look is not None and look.holders(spec, spec.tasks if spec.kind == "gang" else 1):
+                ahead = FETCHES_AHEAD * placing.image_s(spec, next(iter(self.catalog.values())))
+            return (-spec.priority, 0.0, job.submitted - now - ahead)
         late = now + self.run_s(spec) * (1 - self.grace) - job.submitted
         times = sorted(o.times for o in self.shared.objectives if o.kind == "deadline" and o.job_class == spec.job_class and o.times)
         rank = float(sum(1 for factor in times or [1.0] if late > spec.deadline_s * factor))
@@ -736,7 +755,17 @@
         if self.owed:
             self._pass_on(now)
         look = _Pass(self.machines.values(), now)
-        for job in self.waiting(now):
+        matched: set[Any] = set()
+        waiting = self.waiting(now, look)
+        for job in waiting:
+            # Of arrays alike in rank, each takes first what holds its image: whatever comes free is taken by the
+            # one that need not fetch, and the one next in turn has the rest.
+            rank = self._rank_of.get(job.id)
+            if job.spec.kind == "array" and rank not in matched:
+                matched.add(rank)
+                for other in waiting:
+                    if other.spec.kind == "array" and self._rank_of[other.id] == rank and look.holders(other.spec, 1):
+                        self._try_place(other, look, now, cached=True)
             missing = self._try_place(job, look, now)
             zone = ""
             if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
@@ -760,7 +789,7 @@
         """One placement of each job that has any: they share the job's priority."""
         return (next(iter(job.live.values())) for job in self.jobs.values() if job.live)
 
-    def _try_place(self, job: Job, look: _Pass, now: float) -> int:
+    def _try_place(self, job: Job, look: _Pass, now: float, cached: bool = False) -> int:
         """Place what fits; the number of tasks that want room and found none."""
         spec = job.spec
         permitted = min(self.usage.room(spec), job.ready)
@@ -771,10 +800,12 @@
         together = (*anywhere, spec.one_zone, spec.spread)
         if look.barren.holds(anywhere, need, 1) or (spec.kind == "gang" and look.barren.holds(together, need, spec.tasks)):
             return permitted
-        free = [machine for machine in look.open if machine.name not in self.reserved]
+        free = [machine for machine in look.open if machine.name not in self.reserved and (not cached or spec.image in machine.images)]
         options = placing.choices(job, free, now)
         picked = placing.select(job, options, permitted, self.zone_of)
-        if not options:
+        if cached:
+            pass  # says nothing about the others
+        elif not options:
             look.barren.note(anywhere, need, 1)
         elif not picked and spec.kind == "gang":
             look.barren.note(together, need, spec.tasks)
--- a/ashdock/core/placement.py
+++ b/ashdock/core/placement.py
@@ -28,7 +28,12 @@
 def fetch_s(spec: Spec, machine: Machine) -> float:
     if spec.image in machine.images:
         return 0.0
-    return spec.image_gb / max(machine.shape.fetch_gb_per_s, 1e-3)
+    return image_s(spec, machine.shape)
+
+
+def image_s(spec: Spec, shape: MachineType) -> float:
+    """How long its image takes to come."""
+    return spec.image_gb / max(shape.fetch_gb_per_s, 1e-3)
 
 
 def cost(spec: Spec, machine: Machine) -> float:
