--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -167,7 +167,6 @@
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
-        self._rank_of: dict[str, tuple[float, ...]] = {}  # of what waits, but for the order within a rank
         self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
         self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
 
@@ -710,9 +709,7 @@
             if job.active and job.ready and not job.breaking and job.id not in self.strange
             and (job.spec.kind != "gang" or job.ready == job.spec.tasks)
         ]  # fmt: skip
-        ranks = {job.id: self._rank(job, now, look) for job in out}
-        self._rank_of = {job_id: rank[:2] for job_id, rank in ranks.items()}
-        out.sort(key=lambda job: ranks[job.id])
+        out.sort(key=lambda job: self._rank(job, now, look))
         return out
 
     def slack(self, job: Job, now: float) -> float:
@@ -755,17 +752,7 @@
         if self.owed:
             self._pass_on(now)
         look = _Pass(self.machines.values(), now)
-        matched: set[Any] = set()
-        waiting = self.waiting(now, look)
-        for job in waiting:
-            # Of arrays alike in rank, each takes first what holds its image: whatever comes free is taken by the
-            # one that need not fetch, and the one next in turn has the rest.
-            rank = self._rank_of.get(job.id)
-            if job.spec.kind == "array" and rank not in matched:
-                matched.add(rank)
-                for other in waiting:
-                    if other.spec.kind == "array" and self._rank_of[other.id] == rank and look.holders(other.spec, 1):
-                        self._try_place(other, look, now, cached=True)
+        for job in self.waiting(now, look):
             missing = self._try_place(job, look, now)
             zone = ""
             if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
@@ -789,7 +776,7 @@
         """One placement of each job that has any: they share the job's priority."""
         return (next(iter(job.live.values())) for job in self.jobs.values() if job.live)
 
-    def _try_place(self, job: Job, look: _Pass, now: float, cached: bool = False) -> int:
+    def _try_place(self, job: Job, look: _Pass, now: float) -> int:
         """Place what fits; the number of tasks that want room and found none."""
         spec = job.spec
         permitted = min(self.usage.room(spec), job.ready)
@@ -800,12 +787,10 @@
         together = (*anywhere, spec.one_zone, spec.spread)
         if look.barren.holds(anywhere, need, 1) or (spec.kind == "gang" and look.barren.holds(together, need, spec.tasks)):
             return permitted
-        free = [machine for machine in look.open if machine.name not in self.reserved and (not cached or spec.image in machine.images)]
+        free = [machine for machine in look.open if machine.name not in self.reserved]
         options = placing.choices(job, free, now)
         picked = placing.select(job, options, permitted, self.zone_of)
-        if cached:
-            pass  # says nothing about the others
-        elif not options:
+        if not options:
             look.barren.note(anywhere, need, 1)
         elif not picked and spec.kind == "gang":
             look.barren.note(together, need, spec.tasks)
