--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -167,6 +167,7 @@
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
+        self.aims: dict[str, list[float]] = {}  # by class: within what times its jobs are to start
         self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
         self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
 
@@ -734,7 +735,8 @@
             ahead = 0.0
             if look is not None and look.holders(spec, spec.tasks if spec.kind == "gang" else 1):
                 ahead = FETCHES_AHEAD * placing.image_s(spec, next(iter(self.catalog.values())))
-            return (-spec.priority, 0.0, job.submitted - now - ahead)
+            turn, size = self._turn(job, now)
+            return (-spec.priority, turn, size, job.submitted - now - ahead)
         late = now + self.run_s(spec) * (1 - self.grace) - job.submitted
         times = sorted(o.times for o in self.shared.objectives if o.kind == "deadline" and o.job_class == spec.job_class and o.times)
         rank = float(sum(1 for factor in times or [1.0] if late > spec.deadline_s * factor))
@@ -742,6 +744,25 @@
             rank = 0.0
         return (-spec.priority, rank, (spec.tasks - job.done) * self.run_s(spec) * max(spec.gpus, 1.0))
 
+    def _turn(self, job: Job, now: float) -> tuple[float, float]:
+        """When not all can start in time, the most do if the small go first while they are in time for the first
+        aim. Before the last aim passes the large have their turn; what is late for all goes last, but not for ever."""
+        aims = self._wait_aims(job.spec.job_class)
+        if not aims:
+            return 0.0, 0.0
+        first, last, age = aims[0], aims[-1], now - job.submitted
+        if last * 0.6 < age <= last or age > 3 * last:
+            return 0.0, 0.0
+        if age <= first:
+            return 1.0, job.spec.tasks * max(job.spec.gpus, 1.0)
+        return (2.0, 0.0) if age <= last else (3.0, 0.0)
+
+    def _wait_aims(self, job_class: str) -> list[float]:
+        if job_class not in self.aims:
+            within = [o.within_s for o in self.shared.objectives if o.kind == "wait" and o.job_class == job_class]
+            self.aims[job_class] = sorted(aim for aim in within if aim)
+        return self.aims[job_class]
+
     grace = 0.25  # estimates are often wrong: a job is late for sure only with this share of its run time to spare
 
     def schedule(self, now: float) -> None:
