--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -488,3 +488,21 @@
     assert "".join(again.machines["vm-0"].images) == held
     machine.lacks(held[-1])
     assert "".join(machine.images) == held[:-1]
+
+
+TURNS = [  # (tasks, submitted at) of gangs of a class with aims of 10 s and 60 s, at 100 s -> the order in which they are tried
+    ([(4, 95.0), (1, 98.0), (2, 99.0)], [1, 2, 0]),  # in time for the first aim: the small first
+    ([(1, 95.0), (4, 60.0)], [1, 0]),  # the last aim is about to pass
+    ([(1, 95.0), (4, 80.0)], [0, 1]), ([(1, 20.0), (1, 80.0)], [1, 0]),  # late for all: after what still can be in time
+    ([(1, -100.0), (1, 95.0)], [0, 1]),  # but not for ever
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("gangs", "order"), TURNS)
+def test_the_small_go_first_while_not_all_can_be_in_time(gangs: list[tuple[int, float]], order: list[int]) -> None:
+    part = part_with([], "")
+    part.aims["w"] = [10.0, 60.0]
+    for n, (tasks, at) in enumerate(gangs):
+        one = spec(n, shape="ensemble", shares=tasks, accelerators=2.0)
+        part.add_job({"spec": __import__("msgspec").to_builtins(one), "at": at, "status": "queued"}, 7)
+    assert [job.id for job in part.waiting(100.0)] == [f"req-{n:06d}" for n in order]
