--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -158,11 +158,9 @@
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             if want.together and left > 0 and (want.whole or not want.zone):
                 scores = self._zones(team, want._replace(zone=""), pool, idle, busy, spare)
-                if scores.get(want.zone, (0.0, 0))[0] < left:
-                    # The rest of the gang is not to be had where its owner would have it: where all of it is, and most
-                    # hold its image. By room alone all gangs went to the largest zone, and fetched there.
-                    size = max(left, want.whole)
-                    zone = max(sorted(scores), key=lambda zone: (min(scores[zone][0], size), min(scores[zone][1], size), scores[zone][0]), default="")
+                if scores.get(want.zone, 0.0) < left:
+                    # The rest of the gang is not to be had where its owner would have it.
+                    zone = max(sorted(scores), key=lambda zone: scores[zone], default="")
                     if zone != want.zone:
                         left = max(left, want.whole)
                         want = want._replace(zone=zone, tasks=left)
@@ -280,25 +278,21 @@
     def _zones(
         self, team: str, want: Want, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
         busy: dict[str, tuple[Lent, Busy]], spare: dict[str, int],
-    ) -> dict[str, tuple[float, int]]:  # fmt: skip
-        """How many more of a gang's tasks each zone would take: on what stands empty, can be recalled, or rented;
-        and how many of them where the image is."""
+    ) -> dict[str, float]:  # fmt: skip
+        """How many more of a gang's tasks each zone would take: on what stands empty, can be recalled, or rented."""
         score: dict[str, float] = {}
-        cached: dict[str, int] = {}
         empty = [*pool.values(), *(machine for machine, _ in idle.values() if machine.part != team)]
         recallable = [machine for machine, at_work in busy.values() if self._may_recall(team, want, machine, at_work, spare)]
         for worth, machines in ((1.0, empty), (0.99, recallable)):
             for machine in machines:
                 if machine.type in self.catalog and self._suits(want, machine.type, machine.zone, machine.spot):
                     score[machine.zone] = score.get(machine.zone, 0.0) + worth * self._per(machine, want)
-                    if want.image in machine.images:
-                        cached[machine.zone] = cached.get(machine.zone, 0) + self._per(machine, want)
         for shape in self.catalog.values():
             for zone in shape.yards:
                 kinds = (True, False) if want.spot else (False,)
                 if any(self.refused.get((shape.label, zone, spot), (0.0, 0.0))[0] <= self.now for spot in kinds):
                     score[zone] = score.get(zone, 0.0) + 0.9 * max(want.tasks, want.whole)
-        return {zone: (room, cached.get(zone, 0)) for zone, room in score.items()}
+        return score
 
     def _per(self, machine: Lent, want: Want) -> int:
         return capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory)
