--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -36,7 +36,7 @@
         self.rng = rng or random.Random()
         # One clock for all that is kept: the time of day at the start, carried on by the steady clock.
         self.offset = time.time() - time.monotonic()
-        self.ttl_s = max(self.workers.lease_s / 4, 1.0)
+        self.ttl_s = max(self.workers.lease_s / 6, 1.0)
         self.tick_s = min(self.workers.report_s / 4, self.ttl_s / 8)
         self.gather_s = self.tick_s / 16
         self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared)
