--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -214,7 +214,10 @@
             for part, picture in pictures.items():
                 if part == team or now - self.owed_at.get((part, team), -1e9) < self.settle_s:
                     continue
+                # Nor does higher work give way to lower: gangs passed machines on to overdue arrays, and had to recall them.
                 like = [other for other in picture.wants if other.priority >= want.priority]
+                if any(other.priority > want.priority for other in like):
+                    continue
                 # A part with no such work waiting has its empty machines lent as it is, but for those kept at hand.
                 if not like or any(other.guaranteed and not want.guaranteed for other in like):
                     continue
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -426,7 +426,8 @@
     (want(slack_s=-60.0), [want(slack_s=0.0)], [("blue", "red", 1)]), (want(slack_s=-1.0), [want(slack_s=0.0)], []),
     (want(slack_s=-60.0), [], []), (want(slack_s=-60.0), [want(slack_s=0.0, priority=0)], []),
     (want(slack_s=-60.0, guaranteed=False), [want(slack_s=0.0)], []), (want(slack_s=-60.0, tasks=9), [want(slack_s=0.0)], [("blue", "red", 3)]),
-    (want(slack_s=-60.0, zone="b"), [want(slack_s=0.0)], []),
+    (want(slack_s=-60.0, zone="b"), [want(slack_s=0.0)], []), (want(slack_s=-60.0), [want(slack_s=0.0, priority=2)], []),
+    (want(slack_s=-60.0), [want(slack_s=0.0), want(slack_s=0.0, priority=2)], []),
 ]  # fmt: skip
 
 
