--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -254,6 +254,12 @@
         entry = self.parts.entries.get(f"part/{team}")
         return entry.value["owner"] if entry else None
 
+    def token_of(self, machine: str) -> int:
+        """The token under which its owner acts, as far as the records have come through to us."""
+        entry = self.machines.entries.get(f"machine/{machine}")
+        part = self.parts.entries.get(f"part/{entry.value['p']}") if entry else None
+        return max(entry.stamp, part.stamp) if entry and part else 1 << 64
+
     async def _ownership(self) -> float:
         # The jobs too: a part read before their watch has begun would miss what is accepted in between.
         replicas = (self.parts, self.members, self.machines, self.jobs)
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -271,8 +271,14 @@
         lease = controller.workers.lease_s
         since = self.relaying.get(report.berth)
         at, where = self.redirected.get(report.berth, (-1e9, ""))
-        came_back = where == label and now - at < lease * 0.75
-        if (came_back and now - at > 0.6) or (since is not None and now - since < lease):
+        came_back = where == label and 0.6 < now - at < lease * 0.75
+        # One that knows the token of the owner in office has been there, and would not be here had it been answered.
+        # Sent back, it would wait out another report there, and by then its lease is over.
+        was_there = report.warrant >= controller.token_of(report.berth)
+        hears = controller.mesh.hears(label, controller.ttl_s)
+        # Relayed for as long as a lease lasts, it tries its owner again.
+        home = since is not None and now - since >= lease
+        if not home and ((was_there and hears) or came_back or since is not None):
             answer = await controller.relay(label, body)
             if answer is not None and answer.status == 200:
                 if since is None:
@@ -282,6 +288,9 @@
                     self.relaying[report.berth] = now
                 return Answer(200, answer.body)
         self.relaying.pop(report.berth, None)
+        if was_there and not hears and now - at > lease / 2:
+            # We are on the wrong side ourselves: another may hear its owner.
+            label = controller.mesh.other_than(label, controller.ttl_s) or label
         self.redirected[report.berth] = (now, label)
         if len(self.redirected) > 5000:
             self.redirected.clear()
--- a/ashdock/net/mesh.py
+++ b/ashdock/net/mesh.py
@@ -59,6 +59,14 @@
         peer.writer.write(frames.pack(frame))
         return True
 
+    def hears(self, label: str, seconds: float) -> bool:
+        peer = self.peers.get(label)
+        return peer is not None and peer.heard_within(seconds)
+
+    def other_than(self, label: str, seconds: float) -> str | None:
+        """Another controller that is heard."""
+        return next((name for name, peer in sorted(self.peers.items()) if name != label and peer.heard_within(seconds)), None)
+
     def broadcast(self, frame: Frame) -> None:
         for label in self.peers:
             self.send(label, frame)
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -302,6 +302,35 @@
     play(monkeypatch, 12, day)
 
 
+def test_a_worker_that_lost_its_owner_is_relayed_for_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """When two zones were apart, workers that could not reach their owner were sent back to it by the next node, waited out
+    another report there, and came to be relayed for when their lease was over: all their tasks were killed."""
+
+    async def day(service: Service) -> None:
+        await service.submit(job(1, shares=8, expect_s=90.0))
+        while not any(worker.shares for worker in service.world.workers.values()):
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(3)
+        owner = next(c.label for c in service.controllers.values() if "red" in c.owners)
+        other = next(n for n, c in service.controllers.items() if c.label != owner)
+        worker = next(w for w in service.world.workers.values() if w.shares)
+        client = Client(f"10.0.0.{other}", 8080, keep=0)
+        for warrant, expected in [(0, 421), (worker.token, 200)]:
+            worker.tally += 1
+            status, answer = await client.request("POST", "/checkin", json.dumps(worker.message() | {"warrant": warrant}).encode(), 4.0)
+            assert status == expected, answer
+        assert json.loads(answer)["warrant"] == worker.token
+        # Of two zones that are apart, one that cannot hear the owner either names a third that may.
+        service.net.cut(f"10.0.0.{other}", f"10.0.0.{owner[1:]}")
+        await asyncio.sleep(5)
+        worker = next(w for w in service.world.workers.values() if w.shares and w is not worker)
+        worker.tally += 1
+        status, answer = await client.request("POST", "/checkin", json.dumps(worker.message()).encode(), 4.0)
+        assert status == 421 and json.loads(answer)["harbour"] not in (owner, f"n{other}")
+
+    play(monkeypatch, 14, day)
+
+
 def test_jobs_accepted_while_a_watch_fell_behind_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
     async def day(service: Service) -> None:
         await asyncio.sleep(3)
