--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -507,3 +507,41 @@
         one = spec(n, shape="ensemble", shares=tasks, accelerators=2.0)
         part.add_job({"spec": __import__("msgspec").to_builtins(one), "at": at, "status": "queued"}, 7)
     assert [job.id for job in part.waiting(100.0)] == [f"req-{n:06d}" for n in order]
+
+
+def test_rentals_for_all_teams_go_out_together() -> None:
+    """The cloud takes few calls a second: dozens of small rentals, a team and a want each, waited a minute in line."""
+    allotment = Allotment(shared(), Renting(), {"g4": G4})
+    wants = [want(tasks=8, zone=zone) for zone in "abc" for _ in range(3)]
+    pictures = {team: Picture(team, 9, wants, [], [], 0, 0, 0) for team in ("red", "blue")}
+    rents = [d for d in allotment.decide([], pictures, 0.0) if isinstance(d, Rent)]
+    assert sorted((rent.zone, rent.number) for rent in rents) == [("a", 12), ("b", 12), ("c", 12)]
+    assert {team for rent in rents for team, _ in rent.teams} == {"red", "blue"}
+    names = [f"m{n}" for n in range(7)]
+    assert [team for _, team in rents[0].allotted(names)].count(rents[0].teams[0][0]) == 6  # the first has its all
+    many = Allotment(shared(), Renting(), {"g4": G4})
+    pictures["red"] = Picture("red", 9, [want(tasks=999, zone="a")], [], [], 0, 0, 0)
+    assert max(d.number for d in many.decide([], pictures, 0.0) if isinstance(d, Rent)) == 50
+
+
+def test_hundreds_that_start_or_end_together_share_transactions() -> None:
+    """Counted: 400 tasks on 100 machines cost a few writes when they start, and a few when they end."""
+    part = part_with([spec(1, shares=400)], "ab" * 50)
+    part.usage.team = Team("red", gpus=8, gpus_max=1000)
+    for n in range(100):
+        part.on_report(report(f"vm-{n}", 1), 1.0, True)
+    part.schedule(1.0)
+    assert len(part.jobs["req-000001"].live) == 400
+    writes = [commit(part, 20)]
+    assert sum(map(len, writes)) <= 8 and part.next_txn() is None
+    where: dict[str, list[tuple[str, int, str, str | None]]] = {}
+    for task, placement in part.jobs["req-000001"].live.items():
+        where.setdefault(placement.machine, []).append((f"req-000001/{task}", placement.attempt, "ended", "done"))
+    for machine, tasks in where.items():
+        part.direct(part.machines[machine], 1.0)
+        part.direct_answered(part.machines[machine], part.orders(part.machines[machine], 1.0, None))
+        part.on_report(report(machine, 2, tasks), 5.0, True)
+    ends = []
+    while part.jobs:
+        ends.append(commit(part, 30 + len(ends)))
+    assert len(ends) == 1 and len(ends[0]) <= 10
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -12,7 +12,7 @@
 from ashdock.net.http import Client
 from tests import simtime
 from tests.simtime import spawn
-from tests.whole import Service, job
+from tests.whole import Service, job, shared
 
 JOBS = [
     job(1, shares=6),
@@ -344,3 +344,28 @@
         assert await service.until_final([run["id"] for run in runs], 120) == []
 
     play(monkeypatch, 13, day)
+
+
+def test_machines_given_up_together_cost_few_writes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A mass return was a transaction for each machine to give it up, and one for each to forget it."""
+
+    async def main(net: simtime.Net) -> Service:
+        service = Service(net, machines=30, capacity=30)
+        touched: list[int] = []
+
+        def hook(writes: list[dict[str, Any]]) -> None:
+            touched.append(sum((write.get("set") or write["delete"]).startswith("machine/") for write in writes))
+
+        service.state.hook = hook
+        await service.start()
+        while service.world.workers:
+            await asyncio.sleep(1.0)
+            assert service.now() < 60
+        await asyncio.sleep(3)
+        assert not any(path.startswith("machine/") for path in service.state.keys)
+        groups = [count for count in touched if count]
+        assert max(groups) >= 8 and max(groups) <= shared().state.txn_ops
+        assert sum(groups) <= 3 * 30  # recorded, given up, forgotten
+        return service
+
+    simtime.run(main, 15, monkeypatch)
