--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -41,6 +41,7 @@
         self.reads: dict[str, asyncio.Future[Entry | None]] = {}
         self.redirected: dict[str, tuple[float, str]] = {}  # worker: when we last sent it to its owner, and which
         self.relaying: dict[str, float] = {}  # worker: relayed for since
+        self.answered: dict[str, float] = {}  # worker: when an owner here last answered it
 
     async def handle(self, request: Request) -> Answer:
         path = request.target.partition("?")[0]
@@ -249,6 +250,9 @@
             orders = await owner.report(report)
             if orders is not None:
                 self.redirected.pop(report.berth, None)
+                if len(self.answered) > 5000:
+                    self.answered.clear()
+                self.answered[report.berth] = time.monotonic()
                 return Answer(200, messages.encode(orders))
         label = controller.owner_label(team)
         if label is None or label == controller.label or relayed:
@@ -273,8 +277,10 @@
         at, where = self.redirected.get(report.berth, (-1e9, ""))
         came_back = where == label and 0.6 < now - at < lease * 0.75
         # One that knows the token of the owner in office has been there, and would not be here had it been answered.
-        # Sent back, it would wait out another report there, and by then its lease is over.
-        was_there = report.warrant >= controller.token_of(report.berth)
+        # Sent back, it would wait out another report there, and by then its lease is over. But one that we answered a
+        # report ago has not left us: its machine has just gone to another part, whose orders told it the token.
+        stayed = now - self.answered.get(report.berth, -1e9) < 1.5 * controller.workers.report_s
+        was_there = not stayed and report.warrant >= controller.token_of(report.berth)
         hears = controller.mesh.hears(label, controller.ttl_s)
         # Relayed for as long as a lease lasts, it tries its owner again.
         home = since is not None and now - since >= lease
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -320,6 +320,12 @@
             status, answer = await client.request("POST", "/checkin", json.dumps(worker.message() | {"warrant": warrant}).encode(), 4.0)
             assert status == expected, answer
         assert json.loads(answer)["warrant"] == worker.token
+        # Answered here a report ago, it has not been elsewhere: its machine has just changed hands.
+        service.controllers[other].front.answered[worker.name] = service.now()
+        service.controllers[other].front.relaying.clear()
+        worker.tally += 1
+        status, answer = await client.request("POST", "/checkin", json.dumps(worker.message()).encode(), 4.0)
+        assert status == 421 and json.loads(answer)["harbour"] == owner
         # Of two zones that are apart, one that cannot hear the owner either names a third that may.
         service.net.cut(f"10.0.0.{other}", f"10.0.0.{owner[1:]}")
         await asyncio.sleep(5)
