--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -29,6 +29,7 @@
 
 ORDERS_AT_ONCE = 200  # keeps an answer to a worker well under 64 KiB
 FETCHES_AHEAD = 4  # how many fetches longer a job may have waited that is overtaken by one whose image is at hand
+BOOTS_BACK = 4  # how many boots' time of arrivals tells what is to be expected
 MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
 
 
@@ -941,16 +942,20 @@
         if job.spec.deadline_s is None and job.spec.kind != "service":
             per = max((capacity(shape, job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for shape in self.catalog.values()), default=1)
             self.arrived.append((now, -(-job.spec.tasks // max(per, 1)), job.spec))
+            self._lately(now)  # here too: where no machine ever stands empty, nobody else looks
 
     def headroom(self, now: float) -> int:
         """How many empty machines to keep at hand for jobs that are not to wait: one standard deviation of what comes
         in a boot's time. On the mean, what ends makes room for what comes; it is the swings that would have to wait
         for a boot, or for other work to save itself."""
+        self._lately(now)
+        return round(math.sqrt(sum(size * size for _, size, _ in self.arrived) / BOOTS_BACK))
+
+    def _lately(self, now: float) -> None:
+        """Forget what came longer ago than is looked back on."""
         boot_s = max((shape.boot_s for shape in self.catalog.values()), default=self.workers.lease_s)
-        span = 4 * boot_s  # looked back on
-        while self.arrived and now - self.arrived[0][0] > span:
+        while self.arrived and now - self.arrived[0][0] > BOOTS_BACK * boot_s:
             self.arrived.popleft()
-        return round(math.sqrt(sum(size * size for _, size, _ in self.arrived) * boot_s / span))
 
     def _at_hand(self, idle: list[Machine], now: float) -> set[str]:
         """The empty machines to keep, within the guarantee only; those that hold most images first."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -468,7 +468,9 @@
     assert part.headroom(2.0) == kept
     within = min(kept, 2)  # red's guarantee is two machines
     assert len(part.picture(2.0).idle) == 6 - within
-    assert part.headroom(2.0 + 4 * G4.boot_s) == 0
+    late = part.add_job({"spec": __import__("msgspec").to_builtins(spec(99, shares=1)), "at": 99.0, "status": "queued"}, 7)
+    part.came(late, 99.0)
+    assert len(part.arrived) == 1 and part.headroom(99.0 + 5 * G4.boot_s) == 0
 
 
 CACHE = [  # images used in turn with their sizes, in a cache of 80 GB -> what it holds, the last used last
