--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -26,6 +26,8 @@
 
 log = logging.getLogger("ashdock.controller")
 
+COUNTS_AT_ONCE = 2000  # jobs to a frame: far below its limit, whatever their names
+
 
 class Controller:
     def __init__(self, settings: Settings, rng: random.Random | None = None) -> None:
@@ -347,8 +349,9 @@
                 counts += owner.part.counts()
                 if leader and leader != self.label:
                     self.mesh.send(leader, owner.part.picture(self.now()))
-        if counts:
-            self.mesh.broadcast(Counts(counts[:5000]))
+        # As many frames as they need; each other controller keeps what it was told of jobs that still count.
+        for at in range(0, len(counts), COUNTS_AT_ONCE):
+            self.mesh.broadcast(Counts(counts[at : at + COUNTS_AT_ONCE]))
         self.worker_client.sweep()
         return self.mesh.beat_s
 
@@ -407,7 +410,10 @@
             case Yield() | Recalled() | Give() | Owed():
                 self._for_part(frame)
             case Counts(jobs):
-                self.remote_counts[label] = {job: (done, running) for job, done, running in jobs}
+                known = self.remote_counts.setdefault(label, {})
+                if len(known) > 20 * COUNTS_AT_ONCE:
+                    known.clear()  # jobs long over: the next beat names all that are not
+                known.update((job, (done, running)) for job, done, running in jobs)
             case Relay():
                 if len(self.background) < 500:
                     self.spawn(self._answer_relay(label, frame))
--- a/ashdock/net/mesh.py
+++ b/ashdock/net/mesh.py
@@ -56,7 +56,11 @@
             return False
         if peer.writer.transport.get_write_buffer_size() > BACKLOG:
             return False
-        peer.writer.write(frames.pack(frame))
+        try:
+            peer.writer.write(frames.pack(frame))
+        except BadFrame as why:
+            log.error("a %s for %s is not sent: %s", type(frame).__name__, label, why)
+            return False
         return True
 
     def hears(self, label: str, seconds: float) -> bool:
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -10,6 +10,8 @@
 import pytest
 
 from ashdock.net.http import Client
+from ashdock.wire import frames
+from ashdock.wire.frames import Relay
 from tests import simtime
 from tests.simtime import spawn
 from tests.whole import Service, job, shared
@@ -352,6 +354,25 @@
     play(monkeypatch, 13, day)
 
 
+def test_frames_over_their_limit_are_refused_and_counts_are_split(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Counts of more than 5000 jobs were cut off, and a frame over its limit ended the loop that sent it."""
+
+    async def day(service: Service) -> None:
+        await service.submit(job(1, shares=1))
+        await asyncio.sleep(3)
+        owner = next(c for c in service.controllers.values() if "red" in c.owners)
+        other = next(c for c in service.controllers.values() if c is not owner)
+        many = [(f"req-{n:06d}", 1, 2) for n in range(9000)]
+        part = owner.owners["red"].part
+        assert part is not None
+        monkeypatch.setattr(part, "counts", lambda: many)
+        await asyncio.sleep(2)
+        assert all(other.remote_counts[owner.label][name] == (1, 2) for name, _, _ in many)
+        assert not owner.mesh.send(other.label, Relay(1, b"x" * frames.MOST)) and owner.mesh.send(other.label, Relay(1, b"x"))
+
+    play(monkeypatch, 16, day)
+
+
 def test_machines_given_up_together_cost_few_writes(monkeypatch: pytest.MonkeyPatch) -> None:
     """A mass return was a transaction for each machine to give it up, and one for each to forget it."""
 
