--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+import msgspec
 import pytest
 
 from ashdock.core import park as parking
@@ -27,12 +28,17 @@
     return spec_of(decode_run(encode(run_of(number, **more))))
 
 
+def queued(one: Any, at: float) -> dict[str, Any]:
+    """Its record, as accepted at that time."""
+    return {"spec": msgspec.to_builtins(one), "at": at, "status": "queued"}
+
+
 def part_with(jobs: list[Any], machines: str = "ab", team: str = "red", stamp: int = 10) -> Part:
     teams = {t.name: t for t in shared().teams}
     part = Part(teams[team], stamp, shared(), Operators(), {"g4": G4}, random.Random(1))
     part.load([(f"vm-{n}", {"t": "g4", "z": zone, "s": False, "p": team}, 5) for n, zone in enumerate(machines)], [], [], 0.0)
     for one in jobs:
-        part.add_job({"spec": __import__("msgspec").to_builtins(one), "at": 0.0, "status": "queued"}, 7)
+        part.add_job(queued(one, 0.0), 7)
     return part
 
 
@@ -231,7 +237,7 @@
     started(part)
     chunk = part.jobs["req-000001"].chunk_value(0)
     heir = part_with([], "a", stamp=50)
-    record = {"spec": __import__("msgspec").to_builtins(spec(shares=1)), "at": 0.0, "status": "queued"}
+    record = queued(spec(shares=1), 0.0)
     heir.load([], [("work/red/req-000001/job", record, 7), ("work/red/req-000001/0", chunk, 20)], [], 5.0)
     assert heir.usage.gpus == 1.0 and 0 in heir.jobs["req-000001"].live
     heir.preempt(heir.jobs["req-000001"], [0], "test", 5.0)
@@ -354,7 +360,7 @@
     """A late report of the session before, or the session noted when the machine was lent, must not make a task
     that an earlier owner started in this session look gone."""
     record = {"t": "g4", "z": "a", "s": False, "p": "red", "a": "10.1.0.1:9000", "n": 1}
-    one = {"spec": __import__("msgspec").to_builtins(spec(shares=1)), "at": 0.0, "status": "queued"}
+    one = queued(spec(shares=1), 0.0)
     heir = part_with([], "", stamp=50)
     work = [("work/red/req-000001/job", one, 7), ("work/red/req-000001/0", {"a": 1, "p": [[0, "vm-0", 1]]}, 20)]
     heir.load([("vm-0", record, 5)], work, [], 5.0)
@@ -384,7 +390,7 @@
     costs = []
     for batch in (1, 2, 3):
         for n in range(30):
-            part.add_job({"spec": __import__("msgspec").to_builtins(spec(batch * 100 + n, shares=1, cpus=40.0)), "at": 0.0, "status": "queued"}, 7)
+            part.add_job(queued(spec(batch * 100 + n, shares=1, cpus=40.0), 0.0), 7)
         calls[0] = 0
         part.schedule(2.0 + batch)
         costs.append(calls[0])
@@ -463,12 +469,12 @@
     for n in range(6):
         part.on_report(report(f"vm-{n}", 1), 1.0, True)
     for n, size in enumerate(sizes, 1):
-        gang = part.add_job({"spec": __import__("msgspec").to_builtins(spec(n, shape="ensemble", shares=size, accelerators=4.0)), "at": 1.0, "status": "queued"}, 7)
+        gang = part.add_job(queued(spec(n, shape="ensemble", shares=size, accelerators=4.0), 1.0), 7)
         part.came(gang, 1.0)
     assert part.headroom(2.0) == kept
     within = min(kept, 2)  # red's guarantee is two machines
     assert len(part.picture(2.0).idle) == 6 - within
-    late = part.add_job({"spec": __import__("msgspec").to_builtins(spec(99, shares=1)), "at": 99.0, "status": "queued"}, 7)
+    late = part.add_job(queued(spec(99, shares=1), 99.0), 7)
     part.came(late, 99.0)
     assert len(part.arrived) == 1 and part.headroom(99.0 + 5 * G4.boot_s) == 0
 
@@ -507,7 +513,7 @@
     part.aims["w"] = [10.0, 60.0]
     for n, (tasks, at) in enumerate(gangs):
         one = spec(n, shape="ensemble", shares=tasks, accelerators=2.0)
-        part.add_job({"spec": __import__("msgspec").to_builtins(one), "at": at, "status": "queued"}, 7)
+        part.add_job(queued(one, at), 7)
     assert [job.id for job in part.waiting(100.0)] == [f"req-{n:06d}" for n in order]
 
 
