--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -319,7 +319,7 @@
         if value is None:
             return
         job_id = path.split("/", 1)[1]
-        self.front.saw(job_id, value)
+        self.front.saw(job_id, value, stamp)
         owner = self.owners.get(value["spec"]["team"] if isinstance(value["spec"], dict) else value["spec"].team)
         if owner is None:
             return
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -9,14 +9,13 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from ashdock.core.job import job_record
 from ashdock.core.machine import capacity
 from ashdock.core.quota import can_ever
 from ashdock.net.budget import Turn
 from ashdock.net.http import Answer, Request
 from ashdock.net.state import Conflict, Entry, Unavailable
+from ashdock.questions import Busy, Known, Questions, known_of
 from ashdock.wire import messages
 from ashdock.wire.messages import Malformed, Spec
 
@@ -27,6 +26,7 @@
 
 JOB = re.compile(r"^/v2/runs/([0-9A-Za-z_.-]{1,120})(/withdraw)?$")
 PATIENCE_S = 0.5  # a submission that would wait longer for its turn to be written is sent away instead
+ANSWER_S = 1.5  # a status is given up after this: its user waits 2 s
 FINALS = 20_000  # final answers kept at hand; the rest are read again
 
 
@@ -39,6 +39,7 @@
         self.controller = controller
         self.finals: OrderedDict[str, tuple[str, int, str | None]] = OrderedDict()
         self.reads: dict[str, asyncio.Future[Entry | None]] = {}
+        self.questions = Questions(controller.state, ANSWER_S, self.saw)
         self.redirected: dict[str, tuple[float, str]] = {}  # worker: when we last sent it to its owner, and which
         self.relaying: dict[str, float] = {}  # worker: relayed for since
         self.answered: dict[str, float] = {}  # worker: when an owner here last answered it
@@ -140,12 +141,17 @@
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
         try:
-            entry = await self._bounded(self._read(job_id))
+            known = await self._bounded(self.questions.ask(job_id))
+        except Busy:
+            return error(429, "too many questions at once", self._retry_after())
         except Unavailable:
             return error(503, "the state service does not answer", self._retry_after())
-        if entry is None:
+        final = self.finals.get(job_id)  # it may have ended meanwhile, and its user have been told elsewhere
+        if final:
+            return Answer(200, self._final(job_id, final))
+        if known is None:
             return error(404, "no such job")
-        return Answer(200, self._state(job_id, entry))
+        return Answer(200, self._unfinished(job_id, known))
 
     async def withdraw(self, job_id: str) -> Answer:
         controller = self.controller
@@ -160,7 +166,7 @@
                 if entry is None:
                     return error(404, "no such job")
                 if entry.value["status"] != "queued":
-                    self.saw(job_id, entry.value)
+                    self.saw(job_id, entry.value, entry.stamp)
                     continue
                 record = {**entry.value, "status": "withdrawn", "cancelled_at": round(controller.now(), 3)}
                 path = entry.path
@@ -186,7 +192,7 @@
     async def _bounded(self, call: Any) -> Any:
         """Given up in time for the user to hear of it: a poll waits 2 s."""
         try:
-            async with asyncio.timeout(1.5):
+            async with asyncio.timeout(ANSWER_S):
                 return await call
         except TimeoutError:
             raise Unavailable("no answer in time", unknown=True) from None
@@ -206,7 +212,9 @@
         self.reads.pop(job_id, None)
         return await self.controller.state.get(f"job/{job_id}", turn=Turn.USER)
 
-    def saw(self, job_id: str, value: dict[str, Any]) -> None:
+    def saw(self, job_id: str, value: dict[str, Any], stamp: int) -> None:
+        """A record of it came by."""
+        self.questions.learn(job_id, value, stamp)
         if value["status"] in ("done", "withdrawn"):
             spec = value["spec"]
             tasks = spec["tasks"] if isinstance(spec, dict) else spec.tasks
@@ -222,14 +230,13 @@
         return messages.status_answer(job_id, status, tasks if status == "done" else 0, 0, reason)
 
     def _state(self, job_id: str, entry: Entry) -> bytes:
-        value = entry.value
-        self.saw(job_id, value)
+        self.saw(job_id, entry.value, entry.stamp)
         final = self.finals.get(job_id)
-        if final:
-            return self._final(job_id, final)
-        spec = msgspec.convert(value["spec"], Spec)
-        done, running = self.controller.counts(spec.team, job_id)
-        return messages.status_answer(job_id, "running" if running else "queued", done, running, value.get("reason"))
+        return self._final(job_id, final) if final else self._unfinished(job_id, known_of(entry.value, entry.stamp))
+
+    def _unfinished(self, job_id: str, known: Known) -> bytes:
+        done, running = self.controller.counts(known.team, job_id)
+        return messages.status_answer(job_id, "running" if running else "queued", done, running, known.reason)
 
     # -- workers ---------------------------------------------------------------------------------------------------------
 
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -17,6 +17,9 @@
 log = logging.getLogger("ashdock.state")
 
 
+CONDITION_BYTES = 160  # of one on the longest key of a job
+
+
 class Unavailable(Exception):
     """The state service did not do it, or it is not known whether it did (`unknown`)."""
 
@@ -96,6 +99,8 @@
         self.client = Client(host, port, keep=12)
         self.watcher = Client(host, port, keep=8)
         self.size = shared.size
+        # Four times as many conditions as puts and deletes, as far as they fit into 64 KiB.
+        self.most_conditions = min(4 * shared.state.txn_ops, 60 * 1024 // CONDITION_BYTES)
         # A tenth is left for what is in flight while the shares are told anew.
         self.all = Demand(shared.state.rps * 0.9, shared.state.write_rps * 0.9)
         self.requests = Budget(self.all.requests / self.size)
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -141,6 +141,8 @@
         )
         mine = [(entry.path.split("/", 1)[1], entry.value, entry.stamp) for entry in machines if entry.value["p"] == name]
         part.load(mine, list(work), list(parks), self.controller.now())
+        for job in part.jobs.values():
+            self.controller.front.saw(job.id, job.record(), job.stamp)
         part.seen = max(part.seen, seen)
         self._loaded()
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -36,7 +36,8 @@
         self.hook: Any = None  # called with each transaction's writes before they are applied
 
     async def start(self) -> None:
-        await Server(self.handle, 1000, 600.0, 600.0).start(STATE, 2379)
+        self.server = Server(self.handle, 1000, 600.0, 600.0)
+        await self.server.start(STATE, 2379)
         asyncio.create_task(self._expire())
 
     async def _expire(self) -> None:
