--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -21,7 +21,7 @@
 from ashdock.net.worker import WorkerClient
 from ashdock.owner import Owner, OwnerPhase
 from ashdock.settings import Settings, Team, address
-from ashdock.wire.frames import Beat, Counts, Frame, Give, Relay, Relayed, Yield
+from ashdock.wire.frames import Beat, Claims, Counts, Frame, Give, Relay, Relayed, Yield
 from ashdock.wire.messages import MachineType
 
 log = logging.getLogger("ashdock.controller")
@@ -342,6 +342,7 @@
             self.incarnation, self.state.silent_for, now - self.last_report, self.ready(), self.leader is not None, *self.state.demand
         )  # fmt: skip
         self.mesh.broadcast(beat)
+        self.tell_claims()
         leader = self.leader_label()
         counts: list[tuple[str, int, int]] = []
         for owner in self.owners.values():
@@ -355,6 +356,23 @@
         self.worker_client.sweep()
         return self.mesh.beat_s
 
+    def tell_claims(self) -> None:
+        claims = [(team, owner.part.stamp) for team, owner in self.owners.items() if owner.part]
+        if claims:
+            self.mesh.broadcast(Claims(claims))
+
+    def _claims_of(self, label: str, claims: Claims) -> None:
+        """A claim that the state service did not tell us of. One controller that it refused alone went on answering
+        the workers of a part that had gone to another; that one heard none of them and gave up their machines."""
+        for team, stamp in claims.parts:
+            path = f"part/{team}"
+            known = self.parts.entries.get(path)
+            if known is None or known.stamp < stamp:
+                self.parts.wrote(path, {"owner": label}, stamp)
+            ours = self.owners.get(team)
+            if ours is not None and ours.part and ours.part.stamp < stamp:
+                ours.lost(f"claimed by {label}, as the mesh tells")
+
     def _share(self) -> None:
         """Divide what the state service takes among those that live, by what each asks."""
         others: list[Demand | None] = []
@@ -409,6 +427,8 @@
                 self.remote_pictures[frame.team] = (time.monotonic(), frame)
             case Yield() | Recalled() | Give() | Owed():
                 self._for_part(frame)
+            case Claims():
+                self._claims_of(label, frame)
             case Counts(jobs):
                 known = self.remote_counts.setdefault(label, {})
                 if len(known) > 20 * COUNTS_AT_ONCE:
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -23,7 +23,7 @@
 class Chunk:
     """A run of tasks that share one value `work/<team>/<id>/<n>`."""
 
-    __slots__ = ("attempts", "durable", "gen", "n", "placed", "stamp")
+    __slots__ = ("attempts", "durable", "gen", "live", "n", "placed", "stamp")
 
     def __init__(self, n: int) -> None:
         self.n = n
@@ -32,6 +32,7 @@
         self.durable = 0
         self.attempts = 0  # the highest attempt number used
         self.placed = 0  # the latest change that starts wait for
+        self.live: dict[int, Placement] = {}  # the part of the job's: writing a chunk must not look at all of them
 
     def touch(self) -> int:
         self.gen += 1
@@ -90,12 +91,16 @@
         chunk.attempts = max(chunk.attempts, attempt)
         gen = chunk.placed = self._set(task, TaskState.LIVE)
         placement = Placement(self.id, task, attempt, machine, gen, now)
-        self.live[task] = placement
+        self.live[task] = chunk.live[task] = placement
         return placement
 
+    def unplace(self, task: int) -> Placement | None:
+        self.chunk_of(task).live.pop(task, None)
+        return self.live.pop(task, None)
+
     def release(self, task: int) -> None:
         """Its stop is confirmed, or its start was never sent: back among the ready."""
-        self.live.pop(task, None)
+        self.unplace(task)
         if self.states[task] == TaskState.LIVE:
             self._set(task, TaskState.READY)
         else:
@@ -204,7 +209,7 @@
         done = [task for task in range(low, high) if self.states[task] == TaskState.DONE]
         if done:
             value["d"] = ranges_of(done)
-        placed = [[task, p.machine, p.attempt] for task, p in sorted(self.live.items()) if low <= task < high]
+        placed = [[task, p.machine, p.attempt] for task, p in sorted(self.chunk(n).live.items())]
         if placed:
             value["p"] = placed
         failed: list[list[Any]] = []
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -59,6 +59,7 @@
             self.phase = MachinePhase.UP
             self.tenure = value["n"]
             self.last_at = now
+        self.inherited = False  # it was up for the owner before, and has not reported to us
         self.to: str | None = None  # asked to go to this part ("" the pool) once empty
 
     def value(self, part: str) -> dict[str, Any]:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -166,6 +166,7 @@
         self.touched: dict[str, Job] = {}  # jobs with something to write
         self.changing: dict[str, None] = {}  # machines whose record may have to be written
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
+        self.inherited: set[str] = set()  # machines that were up for the owner before
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
         self.aims: dict[str, list[float]] = {}  # by class: within what times its jobs are to start
@@ -205,6 +206,9 @@
                     # The chunk has the last word: a task placed since is not parked.
                     if parked and parked.states[task] == TaskState.READY:
                         parked.park(task)
+        for machine in self.machines.values():
+            machine.inherited = bool(machine.live) or machine.tenure > 0
+        self.inherited = {machine.name for machine in self.machines.values() if machine.inherited}
         for job in self.jobs.values():
             for chunk_ in job.chunks.values():
                 chunk_.durable = chunk_.gen
@@ -293,7 +297,7 @@
             self._gang_settled(job, now)
 
     def _finish(self, job: Job, task: int, now: float) -> None:
-        placement = job.live.pop(task, None)
+        placement = job.unplace(task)
         if placement:
             self._drop(placement, now)
         if job.states[task] != TaskState.DONE:
@@ -400,6 +404,7 @@
         if machine.phase is MachinePhase.EXPECTED:
             self.stale = True
         machine.came_up(report.address)
+        machine.inherited = False
         machine.last_at = now
         machine.warrant = report.warrant
         if machine.tenure and report.tenure > machine.tenure:
@@ -661,10 +666,14 @@
         # that hears them. But not for ever, or two dead machines of two would hold their tasks for good.
         patience = self.silent_s if len(silent) * 2 <= up else 2 * self.silent_s
         gap = 2 * self.workers.report_s
+        unheard = self._unheard_s()
         for machine in self.machines.values():
             if machine.phase is MachinePhase.DOOMED:
                 continue
-            if machine.phase is MachinePhase.EXPECTED:
+            if machine.inherited:
+                if now - machine.since > unheard:
+                    self._doom(machine, "not heard since the part was taken over")
+            elif machine.phase is MachinePhase.EXPECTED:
                 # Some machines never come up, and are charged all the same. Counted from the rental: counted from
                 # when we came to know of it, each takeover kept such a machine for as long again.
                 if now - machine.rented > 2.5 * machine.shape.boot_s and now - machine.since > self.silent_s:
@@ -686,6 +695,16 @@
     def silent_s(self) -> float:
         return 1.1 * self.workers.lease_s + self.workers.report_s
 
+    def _unheard_s(self) -> float:
+        """How long to wait for the workers that a part was taken over with. Where most of them stay away, the owner
+        before may still answer them: cut off from the state service alone it does so for a while, does not know that it
+        was replaced, and holds them until then. Their machines used to be given up with all their work (inc-f1aa)."""
+        self.inherited = {name for name in self.inherited if name in self.machines}
+        away = sum(self.machines[name].inherited for name in self.inherited)
+        if away * 2 <= len(self.inherited):
+            return self.silent_s
+        return self.silent_s + max(self.silent_s, self.workers.cancel_s - self.workers.lease_s)
+
     def _end_cancelled(self, job: Job, now: float) -> None:
         """Tasks of a cancelled job must be gone in time, even where nobody can reach their machine."""
         limit = (job.cancelled_at or now) + self.workers.cancel_s / 2 - self.shared.skew_ms / 1000
@@ -1159,8 +1178,8 @@
         chunk = job.chunk(n)
         chunk.stamp = revision
         chunk.durable = max(chunk.durable, gen)
-        for placement in job.live.values():
-            if placement.phase is Phase.INTENDED and placement.gen <= gen and job.chunk_of(placement.task) is chunk:
+        for placement in chunk.live.values():
+            if placement.phase is Phase.INTENDED and placement.gen <= gen:
                 placement.committed()
                 self.urgent[placement.machine] = None
 
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -133,6 +133,7 @@
         stamp = await state.txn({path: self.claimed_from}, {path: value})
         self.controller.parts.wrote(path, value, stamp)
         self._claimed(stamp)
+        self.controller.tell_claims()
         part = self.part
         assert part
         # Read after the claim: no earlier owner can write from here on, so this is all there is.
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -13,7 +13,7 @@
 from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
 
 MAGIC = b"AD"
-VERSION = 2
+VERSION = 3
 HEAD = struct.Struct("!2sBBI")
 MOST = 512 * 1024
 
@@ -42,6 +42,7 @@
     COUNTS = 8
     GIVE = 9
     OWED = 10
+    CLAIMS = 11
 
 
 class Hello(NamedTuple):
@@ -86,7 +87,13 @@
     to: str
 
 
-Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give | Owed
+class Claims(NamedTuple):
+    """The parts that the sender owns, with the stamps of its claims."""
+
+    parts: list[tuple[str, int]]
+
+
+Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give | Owed | Claims
 
 
 def _text(value: str) -> bytes:
@@ -171,6 +178,8 @@
         case Owed(part, to, number, types, zone, spot):
             names = U16.pack(len(types)) + b"".join(map(_text, types))
             return FrameKind.OWED, _text(part) + _text(to) + OWED.pack(number, spot) + names + _text(zone)
+        case Claims(parts):
+            return FrameKind.CLAIMS, U32.pack(len(parts)) + b"".join(_text(part) + U64.pack(stamp) for part, stamp in parts)
     raise BadFrame(f"no such frame: {frame!r}")
 
 
@@ -248,6 +257,8 @@
         number, spot = reader.take(OWED)
         types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
         frame = Owed(part, to, number, types, reader.text(), spot)
+    elif kind == FrameKind.CLAIMS:
+        frame = Claims([(reader.text(), reader.take(U64)[0]) for _ in range(reader.many())])
     else:
         raise BadFrame(f"kind {kind}")
     reader.end()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,12 +8,59 @@
 
 import pytest
 
+from ashdock.controller import Controller
 from ashdock.net.http import Client
 from tests.simtime import spawn
 from tests.test_whole import play
 from tests.whole import Service, job
 
 
+def refuse(controller: Controller) -> None:
+    """The state service answers this controller alone with 503, and its open watches wait."""
+
+    async def refused(*_: Any) -> tuple[int, bytes]:
+        await asyncio.sleep(0.003)
+        return 503, b"{}"
+
+    async def waits(*_: Any) -> tuple[int, bytes]:
+        await asyncio.sleep(1e6)
+        return 503, b"{}"
+
+    controller.state.client.request = refused  # type: ignore[method-assign]
+    controller.state.watcher.request = waits  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("heard", [True, False], ids=["heard by the others", "alone with its workers"])
+def test_a_controller_refused_alone_costs_no_running_work(heard: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It went on answering its workers, so the next owner heard none of them and gave up all their machines (inc-f1aa).
+    The mesh tells it of the claim; and an owner that hears none of what it inherited waits until nobody else may answer."""
+
+    async def day(service: Service) -> None:
+        runs = [job(1, shares=8, expect_s=60.0), job(2, shares=8, expect_s=60.0)]
+        for run in runs:
+            await service.submit(run)
+        while sum(len(places) for places in service.rules.on.values()) < 16:
+            await asyncio.sleep(0.5)
+            assert service.now() < 40
+        await asyncio.sleep(2)
+        held = {place.machine for places in service.rules.on.values() for place in places}
+        at = next(n for n, c in service.controllers.items() if "red" in c.owners)
+        refuse(service.controllers[at])
+        if not heard:
+            service.net.cut(f"10.0.0.{at}", *(f"10.0.0.{n}" for n in range(3) if n != at))
+        starts = service.rules.starts
+        await asyncio.sleep(25)
+        assert held <= set(service.world.workers)
+        if heard:
+            assert service.rules.starts == starts and "red" not in service.controllers[at].owners
+        del service.controllers[at]
+        service.crash(at)
+        service.net.heal()
+        assert await service.until_final([run["id"] for run in runs], 150) == []
+
+    play(monkeypatch, 21, day)
+
+
 def test_a_flood_of_questions_costs_few_requests(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each question used to be a read: users who asked eight times as often used up the state service's requests, and
     submissions were refused for it. Counted: requests do not grow with questions, nor with the jobs asked about."""
