Jobs that fail wherever they go are tried by one task, where there is room (simulated)

Cause: arrays submitted with a mistake failed on dozens of machines at a time: each failure a start, a fetch of the image, a stop of lower work, up to 168 in one job. Two such jobs on one machine made it suspect. Ruled out: that they spoil estimates (only tasks that end well are learnt from). Changed: a job without a task that ended well, past its retry in place and on more than one machine, is doubtful: one task at a time, after sound work of its priority, nothing stopped, kept or rented for it; it says nothing about machines. The reason is told from the first failure on. A machine that fails every task is still found (test as before).

--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -60,7 +60,8 @@
         self.cancelled_at: float | None = None
         self.breaking: str | None = None  # gang: why its attempt is being taken down
         self.broke: Failure | None = None  # gang: a failure of its own seen in this attempt
-        self.avoid: dict[str, float] = {}  # machine: until when this job had better not go there
+        self.avoid: dict[str, float] = {}  # machine where it failed: until when this job had better not go there
+        self.failed = 0  # the most failures of its own that any of its tasks carries
         self.preempted_at = -math.inf  # when work of its team was last stopped for it
         self.cleared = 0  # and on how many machines
         self.started_at: float | None = None  # when a task of it was first seen running, by this owner
@@ -117,14 +118,22 @@
 
     def wake(self, task: int, failure: Failure) -> None:
         if self.states[task] == TaskState.PARKED:
+            self.failed = max(self.failed, failure.times)
             self.fails[task] = failure
             self._set(task, TaskState.READY)
 
     def set_failure(self, task: int, failure: Failure) -> None:
+        self.failed = max(self.failed, failure.times)
         self.fails[task] = failure
         self.chunk_of(task).touch()
         self.changed()
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether it looks as if submitted with a mistake: none of its tasks has ended well, it has used up its retry in
+        place, and not on one machine only (after a takeover it is not known on which)."""
+        return self.failed >= 2 and not self.done and len(self.avoid) != 1
+
     def cancel(self, at: float) -> None:
         self.phase = JobPhase.CANCELLED
         self.cancelled_at = at
@@ -233,6 +242,7 @@
         for low, high, *failure in value.get("f", []):
             for task in range(low, high + 1):
                 self.fails[task] = Failure(*failure)
+                self.failed = max(self.failed, self.fails[task].times)
         out = []
         for task, machine, attempt in value.get("p", []):
             placement = self.place(task, machine, attempt, now)
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -206,6 +206,7 @@
                     # The chunk has the last word: a task placed since is not parked.
                     if parked and parked.states[task] == TaskState.READY:
                         parked.park(task)
+                        parked.failed = max(parked.failed, park.failure.times)
         for machine in self.machines.values():
             machine.inherited = bool(machine.live) or machine.tenure > 0
         self.inherited = {machine.name for machine in self.machines.values() if machine.inherited}
@@ -345,9 +346,12 @@
         reason = f"{why} on {machine.name}"
         log.info("job %s task %d try %d failed: %s", job.id, placement.task, placement.attempt, reason)
         job.avoid[machine.name] = now + self.retry.cap_s
-        # A job that fails wherever it goes says nothing about the machine.
-        if len(job.avoid) <= 2:
+        # A job that fails on one machine after another, and nowhere ends well, says nothing about any of them. Arrays
+        # submitted with a mistake fail on dozens at once: two such jobs made sound machines suspect.
+        if job.done or len(job.avoid) == 1:
             machine.failed[job.id] = now
+        else:
+            self._exonerate(job)
         recent = [at for at in machine.failed.values() if now - at < self.retry.horizon_s / 3]
         if len(recent) >= 2 and machine.phase is MachinePhase.UP and self._may_suspect():
             machine.leave("suspect")
@@ -365,27 +369,35 @@
             self._release(placement, now)
             self._after_failure(job, [placement.task], failure, now)
 
+    def _exonerate(self, job: Job) -> None:
+        """The machines where it failed are not to blame for that."""
+        for name in job.avoid:
+            if name in self.machines:
+                self.machines[name].failed.pop(job.id, None)
+
     def _may_suspect(self) -> bool:
         suspects = sum(1 for machine in self.machines.values() if machine.why == "suspect")
         return suspects * 4 <= len(self.machines)
 
     def _after_failure(self, job: Job, tasks: list[int], failure: Failure, now: float) -> None:
         step = parking.after_failure(self.retry, job.fails.get(tasks[0]), failure.why, now, self.rng)
+        what = "the gang" if job.spec.kind == "gang" else f"task {tasks[0]}"
+        if job.reason is None:
+            # From the first failure on: who submitted it with a mistake is not to wait for the second.
+            job.set_reason(f"{what} failed: {failure.why}; tried again")
         if step.step == "in_place":
             for task in tasks:
                 job.set_failure(task, step.failure)
             return
         at = now + step.delay
+        job.failed = max(job.failed, step.failure.times)
         for task in tasks:
             job.park(task)
         self.parks.add(job.id, ranges_of(tasks), at, step.failure)
-        what = "the gang" if job.spec.kind == "gang" else f"task {tasks[0]}"
         if step.step == "past":
             job.set_reason(f"{what} failed {step.failure.times} times, last: {failure.why}; still tried now and then")
             log.info("job %s gave up its bounded retries: %s", job.id, job.reason)
         else:
-            if job.reason is None:
-                job.set_reason(f"{what} failed: {failure.why}; parked and tried again")
             log.info("job %s %s parked for %.1f s after %d failures", job.id, what, step.delay, step.failure.times)
 
     # -- reports --------------------------------------------------------------------------------
@@ -631,6 +643,8 @@
         job.cancel(at)
         job.stamp = max(job.stamp, stamp)
         job.breaking = None
+        if not job.done:
+            self._exonerate(job)  # most that fail until they are cancelled were submitted with a mistake
         self.ending[job_id] = job
         self.parks.drop(job_id)
         for placement in list(job.live.values()):
@@ -751,6 +765,8 @@
         long overdue comes first again, so that nothing starves. What would find its image on the machines that are
         free goes ahead of what has waited a few fetches longer: where machines are short, fetching wastes them."""
         spec = job.spec
+        if job.doubtful:
+            return (-spec.priority, 9.0, job.submitted)
         if spec.deadline_s is None:
             ahead = 0.0
             if look is not None and look.holders(spec, spec.tasks if spec.kind == "gang" else 1):
@@ -795,6 +811,8 @@
         look = _Pass(self.machines.values(), now)
         for job in self.waiting(now, look):
             missing = self._try_place(job, look, now)
+            if job.doubtful:
+                continue  # tried where there is room: nothing is stopped, kept or rented for it alone
             zone = ""
             if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
                 zone, kept = self._keep_for_gang(job, look)
@@ -821,6 +839,8 @@
         """Place what fits; the number of tasks that want room and found none."""
         spec = job.spec
         permitted = min(self.usage.room(spec), job.ready)
+        if job.doubtful and spec.kind != "gang":
+            permitted = min(permitted, 1 - len(job.live))  # one task at a time tells as much as all
         if (spec.kind == "gang" and permitted < spec.tasks) or permitted <= 0:
             return 0
         need = (spec.cpus, spec.gpus, spec.memory_gb)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -336,6 +336,50 @@
     assert last == gone
 
 
+def fails(part: Part, name: str, tally: int, tasks: list[tuple[str, int]], now: float) -> None:
+    part.on_report(report(name, tally, [(task, attempt, "ended", "error") for task, attempt in tasks]), now, True)
+
+
+def test_a_job_that_fails_everywhere_is_tried_by_one_task_and_displaces_nothing() -> None:
+    """Arrays submitted with a mistake failed on dozens of machines at a time, fetched their image there, and had other work
+    stopped for them; two such jobs made sound machines suspect."""
+    part = part_with([spec(shares=6, urgency="high")], "ab")
+    one = part.jobs["req-000001"]
+    for name in ("vm-0", "vm-1"):
+        part.on_report(report(name, 1), 0.5, True)
+    part.schedule(1.0)
+    assert len(one.live) == 6
+    revision = 20
+    for tally in range(1, 4):
+        commit(part, revision)
+        for name in ("vm-0", "vm-1"):
+            tasks = [(f"req-000001/{p.task}", p.attempt) for p in one.live.values() if p.machine == name]
+            part.on_report(report(name, 3 * tally), float(tally), True)
+            part.on_report(report(name, 3 * tally + 1, [(task, n, "running", None) for task, n in tasks]), float(tally), True)
+            fails(part, name, 3 * tally + 2, tasks, tally + 0.5)
+        assert one.reason and "error on vm-" in one.reason, "told from the first failure on"
+        if one.doubtful:
+            break
+        part.schedule(tally + 0.6)
+        revision += 1
+    assert one.doubtful and not any(machine.failed for machine in part.machines.values())
+    commit(part, 90)
+    for name in ("vm-0", "vm-1"):
+        part.on_report(report(name, 90), 39.0, True)
+    part.add_job(queued(spec(2, shares=16, expect_s=50.0), 0.0), 8)
+    for now in (40.0, 41.0, 42.0):
+        part.tick(now)
+        part.schedule(now)
+    sound = part.jobs["req-000002"]
+    assert len(one.live) <= 1 and sound.live
+    assert not any(p.phase is Phase.STOPPING for p in sound.live.values()) and all(w.priority == 1 for w in part.wants)
+    heir = Job(one.spec, 0.0, 7, one.chunk_tasks)
+    heir.set_failure(0, Failure(3, 0.0, "error"))
+    assert heir.doubtful, "a new owner knows it by the count that is carried"
+    heir.finish(1)
+    assert not heir.doubtful
+
+
 def test_a_machine_that_never_comes_up_is_given_up_whoever_owns_it() -> None:
     """Counted from its rental: it used to start anew with each takeover, and stood for a machine about to come."""
     record = {"t": "g4", "z": "a", "s": False, "p": "red", "at": 0.0}
