--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -144,10 +144,15 @@
         }  # fmt: skip
         self.now = now
         out: list[Decision] = []
+        small = {team for team, picture in pictures.items() if picture.machines * 2 * len(pictures) < len(lent)}
         wants = sorted(
             ((picture.team, want) for picture in pictures.values() for want in picture.wants),
-            key=lambda item: (not item[1].guaranteed, -item[1].priority, item[1].slack_s),
-        )
+            # Beyond guarantees, a team with less than half its equal part of the machines goes before like work of the rest:
+            # behind others' overdue work a guest was never served at all.
+            key=lambda item: (
+                item[1].idle, not item[1].guaranteed, -item[1].priority, not item[1].guaranteed and item[0] not in small, item[1].slack_s,
+            ),
+        )  # fmt: skip
         on_the_way = self._virtual(lent)
         rents: dict[tuple[str, str, str, bool], int] = {}
         unmet: list[tuple[str, Want, int]] = []
@@ -172,6 +177,11 @@
             # With enough requests on their way, the rest is asked for together once those are answered.
             while left > 0 and len(self.renting_now) < self.most_requests:
                 offer = self._offer(want, left, rents, now)
+                if offer is None and want.idle and not (pictures[team].machines or team in on_the_way or any(key[0] == team for key in rents)):
+                    # The cheap kind is not to be had: one of the other, so that such work does not starve.
+                    want = want._replace(idle=False, tasks=1)
+                    left = 1
+                    offer = self._offer(want, left, rents, now)
                 most = self.renting.most_machines
                 if offer is None or (most and total >= most):
                     break
@@ -185,7 +195,7 @@
                     on_the_way.setdefault(team, Slots()).add_rest(shape.label, zone, spot, self._rest(shape, want, per + left))
             if left > 0:
                 unmet.append((team, want, left))
-        out += self._debts(unmet, pictures, lent, now)
+        out += self._debts(unmet, {team: picture for team, picture in pictures.items() if team not in small}, lent, now)
         asked = self._requests(rents)
         out += asked
         self.renting_now += asked
@@ -347,7 +357,7 @@
         out: list[Decision], now: float, cached: bool = False,
     ) -> int:  # fmt: skip
         """Machines that stand empty need no boot."""
-        alike = ("lend", team, want.types, want.zone, want.spot, want.cpus, want.gpus, want.memory, want.image if cached else None)
+        alike = ("lend", team, want.types, want.zone, want.spot, want.idle, want.cpus, want.gpus, want.memory, want.image if cached else None)
         if left <= 0 or alike in self.barren:
             return left
         options = [(0.0, machine) for machine in pool.values()]
@@ -361,6 +371,8 @@
                 continue
             if cached and want.image not in machine.images:
                 continue
+            if want.idle and self._cheap(want) and not machine.spot:
+                continue
             per = self._per(machine, want)
             if per <= 0:
                 continue
@@ -373,6 +385,11 @@
             self.barren.add(alike)
         return left
 
+    def _cheap(self, want: Want) -> bool:
+        """Whether it may use the cheap kind. What was promised nothing then uses no other: machines that cost four times as
+        much were rented for idle-time scans, and kept from work that had been promised them."""
+        return want.spot and self.renting.spot
+
     def _offer(
         self, want: Want, left: int, rents: dict[tuple[str, str, str, bool], int], now: float
     ) -> tuple[MachineType, str, bool] | None:
@@ -386,7 +403,7 @@
                 if want.zone and zone != want.zone:
                     continue
                 for spot in (True, False):
-                    if spot and not (want.spot and self.renting.spot):
+                    if (spot and not self._cheap(want)) or (not spot and want.idle and self._cheap(want)):
                         continue
                     if self.refused.get((shape.label, zone, spot), (0.0, 0.0))[0] > now:
                         continue
@@ -432,7 +449,10 @@
             # Kept as long as the next job would save by it: a boot's time, less the dearer it stands idle.
             share = 1.5 if machine.spot else 0.5 + shape.low_price / (2 * shape.price)
             keep_s = self.renting.idle_boots * shape.boot_s * share
-            wanted = any(self._suits(want, machine.type, machine.zone, machine.spot) for _, want in wants)
+            wanted = any(
+                self._suits(want, machine.type, machine.zone, machine.spot) and (machine.spot or not (want.idle and self._cheap(want)))
+                for _, want in wants
+            )
             if idle_s > keep_s and not wanted:
                 out.append(Move(machine.part, machine.name, ""))
                 self.sent_back.add(machine.name)
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -25,6 +25,7 @@
         self.spot = bool(value["s"])
         self.address: str = value.get("a", "")
         self.rented: float = value.get("at", now)
+        self.dated = bool(value.get("r"))  # whether that is when it was rented, and not when it was found
         self.stamp = stamp
         self.shape = shape
         self.phase = MachinePhase.DOOMED if value.get("x") else MachinePhase.EXPECTED
@@ -65,6 +66,8 @@
     def value(self, part: str) -> dict[str, Any]:
         value: dict[str, Any] = {"t": self.type, "z": self.zone, "s": self.spot, "a": self.address, "p": part}
         value["at"] = round(self.rented, 3)
+        if self.dated:
+            value["r"] = 1
         # The next part's owner is told which images it need not wait for.
         value["i"] = [[image, self.images[image]] for image in list(reversed(self.images))[:12]]
         if self.tenure:
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -28,6 +28,7 @@
 log = logging.getLogger("ashdock.part")
 
 ORDERS_AT_ONCE = 200  # keeps an answer to a worker well under 64 KiB
+SPREAD_BOOTS = 4  # an array of short tasks without a deadline is given room to be through in so many boots' time
 FETCHES_AHEAD = 4  # how many fetches longer a job may have waited that is overtaken by one whose image is at hand
 BOOTS_BACK = 4  # how many boots' time of arrivals tells what is to be expected
 MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
@@ -68,6 +69,7 @@
     slack_s: float  # until it had better run
     image: str = ""
     whole: int = 0  # gang in one zone of the owner's choosing: all its tasks, should another zone do better
+    idle: bool = False  # nothing was promised: no guarantee, no deadline, no aim
 
 
 class Recalled(NamedTuple):
@@ -161,12 +163,15 @@
         self.learnt: dict[str, tuple[float, int]] = {}  # class: run time by estimate, and from how many tasks
         self.reserved: set[str] = set()  # empty machines kept for a gang that lacks others
         self.seen = stamp
+        self.looked = stamp  # what was seen when the last pass began
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
         # What a pass or a transaction has to look at, so that neither looks at everything each time.
         self.touched: dict[str, Job] = {}  # jobs with something to write
         self.changing: dict[str, None] = {}  # machines whose record may have to be written
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
-        self.inherited: set[str] = set()  # machines that were up for the owner before
+        self.taken = 0  # machines that were up for the owner before
+        self.taken_at = -math.inf
+        self.unheard_s: float | None = None  # how long those that do not report are waited for, once that is known
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
         self.aims: dict[str, list[float]] = {}  # by class: within what times its jobs are to start
@@ -209,7 +214,8 @@
                         parked.failed = max(parked.failed, park.failure.times)
         for machine in self.machines.values():
             machine.inherited = bool(machine.live) or machine.tenure > 0
-        self.inherited = {machine.name for machine in self.machines.values() if machine.inherited}
+        self.taken = sum(machine.inherited for machine in self.machines.values())
+        self.taken_at = now
         for job in self.jobs.values():
             for chunk_ in job.chunks.values():
                 chunk_.durable = chunk_.gen
@@ -680,7 +686,7 @@
         # that hears them. But not for ever, or two dead machines of two would hold their tasks for good.
         patience = self.silent_s if len(silent) * 2 <= up else 2 * self.silent_s
         gap = 2 * self.workers.report_s
-        unheard = self._unheard_s()
+        unheard = self._patience(now)
         for machine in self.machines.values():
             if machine.phase is MachinePhase.DOOMED:
                 continue
@@ -709,15 +715,18 @@
     def silent_s(self) -> float:
         return 1.1 * self.workers.lease_s + self.workers.report_s
 
-    def _unheard_s(self) -> float:
-        """How long to wait for the workers that a part was taken over with. Where most of them stay away, the owner
+    def _patience(self, now: float) -> float:
+        """How long to wait for the workers that a part was taken over with. Where more than a quarter stay away, the owner
         before may still answer them: cut off from the state service alone it does so for a while, does not know that it
         was replaced, and holds them until then. Their machines used to be given up with all their work (inc-f1aa)."""
-        self.inherited = {name for name in self.inherited if name in self.machines}
-        away = sum(self.machines[name].inherited for name in self.inherited)
-        if away * 2 <= len(self.inherited):
-            return self.silent_s
-        return self.silent_s + max(self.silent_s, self.workers.cancel_s - self.workers.lease_s)
+        if self.unheard_s is None:
+            away = sum(machine.inherited for machine in self.machines.values())
+            if now - self.taken_at <= self.silent_s:
+                return self.silent_s
+            # Decided once: the others come back one by one, and the last must not be given up because the rest are there.
+            held = away * 4 > self.taken
+            self.unheard_s = self.silent_s + (max(self.silent_s, self.workers.cancel_s - self.workers.lease_s) if held else 0.0)
+        return self.unheard_s
 
     def _end_cancelled(self, job: Job, now: float) -> None:
         """Tasks of a cancelled job must be gone in time, even where nobody can reach their machine."""
@@ -804,6 +813,7 @@
     def schedule(self, now: float) -> None:
         """One pass: place what fits, keep and make room for what does not, and tell what is lacking."""
         self.stale = False
+        self.looked = self.seen
         short: list[tuple[Job, int, str]] = []
         self.reserved = set()
         if self.owed:
@@ -959,6 +969,8 @@
         out: list[Want] = []
         for job, missing, zone in short:
             spec = job.spec
+            if not guaranteed(self.team, cpus + spec.cpus * missing, gpus + spec.gpus * missing):
+                missing = min(missing, self._worthwhile(job))
             cpus += spec.cpus * missing
             gpus += spec.gpus * missing
 
@@ -972,10 +984,29 @@
                         spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
                         spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
                         self.slack(job, now), spec.image, spec.tasks if spec.one_zone and not spec.zone and zone else 0,
+                        not self.promised(spec),
                     )
                 )  # fmt: skip
         return out
 
+    def promised(self, spec: Spec) -> bool:
+        """Whether anybody was told when it would run. What was promised nothing uses what is cheap or idle."""
+        if self.team.cpus > 0 or self.team.gpus > 0 or spec.deadline_s is not None or spec.kind == "service":
+            return True
+        return any(o.job_class == spec.job_class for o in self.shared.objectives)
+
+    def _worthwhile(self, job: Job) -> int:
+        """How many more tasks of it are worth room of their own. Room for each of thousands of short tasks is up only when
+        the first of them have long made way: an array of 25,000 tasks of a few seconds each asked for 195 machines."""
+        spec = job.spec
+        if spec.kind != "array" or spec.deadline_s is not None:
+            return job.ready
+        span = SPREAD_BOOTS * max((shape.boot_s for shape in self.catalog.values()), default=self.workers.lease_s)
+        aims = [o.within_s for o in self.shared.objectives if o.kind == "finished" and o.job_class == spec.job_class and o.within_s]
+        span = max([span, *(aim / 2 for aim in aims)])
+        each = self.run_s(spec) + 2 * self.workers.report_s  # until the next one runs in its place
+        return max(0, math.ceil((job.ready + len(job.live)) * each / span) - len(job.live))
+
     def came(self, job: Job, now: float) -> None:
         """A new job, and not one read at a takeover: what has come of late tells what is to be expected."""
         if job.spec.deadline_s is None and job.spec.kind != "service":
@@ -1010,7 +1041,13 @@
         return out
 
     def picture(self, now: float) -> Picture:
-        empty = [m for m in self.machines.values() if m.empty and m.idle_since is not None and m.usable and m.name not in self.reserved]
+        # A machine that came after the last pass is not idle: nobody has looked yet at what it is for. Told as idle, with the
+        # wants of that pass, it was lent back to where it came from; so two parts of one controller handed their machines
+        # to each other for a minute, and nothing ran.
+        empty = [
+            m for m in self.machines.values()
+            if m.empty and m.idle_since is not None and m.usable and m.name not in self.reserved and m.stamp <= self.looked
+        ]  # fmt: skip
         kept = self._at_hand(empty, now)
         idle = [(m.name, now - (m.idle_since or now)) for m in empty if m.name not in kept]
         busy = [
@@ -1019,7 +1056,7 @@
             if m.live and m.usable and m.name not in self.reserved
         ]  # fmt: skip
         waiting = sum(job.ready for job in self.jobs.values() if job.active)
-        return Picture(self.name, self.seen, self.wants, idle, busy, len(self.machines), waiting, self._beyond(busy))
+        return Picture(self.name, self.looked, self.wants, idle, busy, len(self.machines), waiting, self._beyond(busy))
 
     def _beyond(self, busy: list[Busy]) -> int:
         """How many machines' work the team runs beyond its guarantee. Machines that stand empty or boot do not
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -38,6 +38,11 @@
     return gone
 
 
+def lag_of(listed: list[tuple[str, float]], rented: dict[str, float], now: float) -> float:
+    """How old a list is, by the ages it gives to machines of which we noted when they were rented."""
+    return max((now - rented[name] - age for name, age in listed if name in rented), default=0.0)
+
+
 class Leader:
     """Lives as long as our hold on the key `leader`."""
 
@@ -49,6 +54,8 @@
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
         self.listed: dict[str, float] = {}  # machine: when the cloud first listed it
+        self.unrecorded: dict[str, float] = {}  # machine: since when it is listed without a record
+        self.lag_s = controller.shared.cloud.list_lag_s  # of the cloud's list, as far as it shows
         self.over = False
         self.jobs: set[asyncio.Task[None]] = set()
         self.tasks = [asyncio.create_task(self._guard(loop)) for loop in (self._finish_charters, self._choose, self._clean, self._look)]
@@ -245,7 +252,7 @@
     async def _record(self, rent: Rent, names: list[str], now: float) -> None:
         """One that was quicker than our note of it is recorded already, and in the pool or lent."""
         left = {
-            name: (0, self._value(rent.type, rent.zone, rent.spot, "", team, now))
+            name: (0, self._value(rent.type, rent.zone, rent.spot, "", team, now) | {"r": 1})  # its rental's time is known
             for name, team in rent.allotted(names)
         }  # fmt: skip
         for _ in range(3):
@@ -289,7 +296,7 @@
 
     def _late(self, name: str, now: float) -> bool:
         """Whether it may be a word of a machine that was released a moment ago."""
-        return now - self.released.get(name, -1e9) < 4 * self.controller.shared.cloud.list_lag_s + self.controller.workers.lease_s
+        return now - self.released.get(name, -1e9) < 4 * self.lag_s + self.controller.workers.lease_s
 
     @staticmethod
     def _value(kind: str, zone: str, spot: bool, where: str, part: str, now: float) -> dict[str, Any]:
@@ -323,24 +330,33 @@
 
     async def _look(self) -> float:
         controller = self.controller
-        now = controller.now()
-        lag = controller.shared.cloud.list_lag_s
+        asked = controller.now()
         hosts = await controller.cloud.hosts()
-        for name in gone_from(self.listed, [host.id for host in hosts], now, 3 * lag):
+        now = controller.now()
+        rented = {e.path.split("/", 1)[1]: e.value["at"] for e in controller.machines.entries.values() if e.value.get("r")}
+        self.lag_s = max(self.lag_s * 0.9, lag_of([(host.id, host.age_s) for host in hosts], rented, now), controller.shared.cloud.list_lag_s)
+        sure_s = 3 * self.lag_s
+        for name in gone_from(self.listed, [host.id for host in hosts], now, sure_s):
             # Taken without notice. Its release is the proof; without it, its tasks would wait out its silence.
             entry = self._entry(name)
             if entry and not entry.value.get("x"):
                 log.info("machine %s is not listed any more", name)
                 await self._mark(name, "not listed any more")
+        unrecorded: dict[str, float] = {}
         for host in hosts:
             entry = self._entry(host.id)
             if host.status == "failed":
                 if entry and not entry.value.get("x"):
                     log.info("machine %s failed", host.id)
                     await self._mark(host.id, "failed")
-            elif entry is None and not self.renting_names and host.age_s > 2 * lag:
-                await self._adopt(host.id, host.hull, host.yard, host.loaners, host.address)
+            elif entry is None:
+                # A list may be older than what we know: a machine released under an earlier leader still stands in it. One
+                # that we miss a record of for longer than any list lags is really there.
+                since = unrecorded[host.id] = self.unrecorded.get(host.id, asked)
+                if not self.renting_names and now - since > 2 * self.lag_s:
+                    await self._adopt(host.id, host.hull, host.yard, host.loaners, host.address)
+        self.unrecorded = unrecorded
         for name, at in list(self.released.items()):
-            if now - at > 20 * lag + 60:
+            if now - at > 20 * self.lag_s + 60:
                 del self.released[name]
-        return max(lag, 8 / controller.shared.cloud.rps)
+        return max(controller.shared.cloud.list_lag_s, 8 / controller.shared.cloud.rps)
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -21,7 +21,7 @@
 U32 = struct.Struct("!I")
 U64 = struct.Struct("!Q")
 F64 = struct.Struct("!d")
-WANT = struct.Struct("!dddIB??dBI")  # cpus gpus memory tasks priority spot together slack guaranteed whole
+WANT = struct.Struct("!dddIB??dBI?")  # cpus gpus memory tasks priority spot together slack guaranteed whole idle
 OWED = struct.Struct("!I?")  # number, spot
 BUSY = struct.Struct("!Bd")  # priority, loss
 BEAT = struct.Struct("!Qdd??dd")  # incarnation, age of the state's last answer, of the last worker's; ready, leader; demand
@@ -190,7 +190,7 @@
         out.append(
             WANT.pack(
                 want.cpus, want.gpus, want.memory, want.tasks, want.priority, want.spot, want.together, want.slack_s,
-                want.guaranteed, want.whole,
+                want.guaranteed, want.whole, want.idle,
             )
         )  # fmt: skip
         out += [U16.pack(len(want.types)), *map(_text, want.types), _text(want.zone), _text(want.image)]
@@ -209,13 +209,13 @@
     machines, waiting, beyond = (reader.take(U32)[0] for _ in range(3))
     wants = []
     for _ in range(reader.many()):
-        cpus, gpus, memory, tasks, priority, spot, together, slack, promised, whole = reader.take(WANT)
+        cpus, gpus, memory, tasks, priority, spot, together, slack, promised, whole, idle = reader.take(WANT)
         types = tuple(reader.text() for _ in range(reader.take(U16)[0]))
         zone, image = reader.text(), reader.text()
-        wants.append(Want(cpus, gpus, memory, types, zone, spot, together, tasks, priority, bool(promised), slack, image, whole))
-    idle = [(reader.text(), float(reader.take(F64)[0])) for _ in range(reader.many())]
+        wants.append(Want(cpus, gpus, memory, types, zone, spot, together, tasks, priority, bool(promised), slack, image, whole, idle))
+    empty = [(reader.text(), float(reader.take(F64)[0])) for _ in range(reader.many())]
     busy = [Busy(reader.text(), *reader.take(BUSY)) for _ in range(reader.many())]
-    return Picture(team, seen, wants, idle, busy, machines, waiting, beyond)
+    return Picture(team, seen, wants, empty, busy, machines, waiting, beyond)
 
 
 def head(data: bytes) -> tuple[int, int]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,7 +15,7 @@
 from ashdock.core.part import Busy, Owed, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
-from ashdock.leader import gone_from
+from ashdock.leader import gone_from, lag_of
 from ashdock.settings import Operators, Renting, Retry, Team
 from ashdock.wire.messages import Held, MachineType, Report, decode_run, encode, spec_of
 from tests.whole import job as run_of
@@ -280,6 +280,9 @@
     ([lent("m1", "blue")], [want()], [], [Busy("m1", 0, 5.0)], 0, [Recalled]),
     ([lent("m1", "blue")], [want()], [], [Busy("m1", 0, 7.0)], 0, [Rent]),
     ([lent("m1", "blue")], [want(slack_s=60.0)], [], [Busy("m1", 0, 5.0)], 0, [Rent]),
+    # What was promised nothing takes cheap machines that stand empty, and leaves the dear ones.
+    ([lent("m1", "", spot=True)], [want(idle=True, guaranteed=False)], [], [], 0, [Move]),
+    ([lent("m1", "")], [want(idle=True, guaranteed=False)], [], [], 0, [Rent]),
 ]  # fmt: skip
 
 
@@ -336,6 +339,35 @@
     assert last == gone
 
 
+@pytest.mark.parametrize(("idle", "spot", "machines", "kinds"), [(True, True, 0, [True, False]), (True, True, 3, [True]), (False, True, 3, [True, False])])
+def test_idle_time_work_rents_no_dear_machines_unless_it_has_none(idle: bool, spot: bool, machines: int, kinds: list[bool]) -> None:
+    """Scans that could wait were given machines at four times the price, which others then lacked."""
+    allotment = Allotment(shared(), Renting(), {"g4": G4})
+    wants = [want(idle=idle, spot=spot, guaranteed=False, tasks=40)]
+    pictures = {"red": Picture("red", 9, wants, [], [], machines, 0, 0), "blue": Picture("blue", 9, [], [], [], 1, 0, 0)}
+    asked: list[Rent] = []
+    for now in range(4):
+        for rent in [d for d in allotment.decide([], pictures, float(now)) if isinstance(d, Rent)]:
+            asked.append(rent)
+            allotment.not_rented(rent, float(now), no_capacity=True)
+    assert sorted({rent.spot for rent in asked}, reverse=True) == kinds
+    assert not idle or sum(rent.number for rent in asked if not rent.spot) <= (1 if not machines else 0) * len(asked)
+
+
+SPREAD = [  # tasks, their run time, deadline -> tasks that room is asked for (a boot takes 6 s, so they spread over 24 s)
+    (25_000, 4.0, None, 6250), (40, 4.0, None, 10), (40, 300.0, None, 40), (40, 4.0, 60.0, 40), (1, 4.0, None, 1),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("tasks", "run_s", "due_s", "asked"), SPREAD)
+def test_room_for_short_tasks_goes_by_their_work(tasks: int, run_s: float, due_s: float | None, asked: int) -> None:
+    """An array of 25,000 tasks of 4 s each asked for room for all at once: 195 machines."""
+    part = part_with([spec(shares=tasks, expect_s=run_s, due_s=due_s, accelerators=0.0)], "")
+    part.team = Team("red")  # a guest: nothing is guaranteed
+    part.schedule(1.0)
+    assert part.wants[0].tasks == asked and part.wants[0].idle is (due_s is None)
+
+
 def fails(part: Part, name: str, tally: int, tasks: list[tuple[str, int]], now: float) -> None:
     part.on_report(report(name, tally, [(task, attempt, "ended", "error") for task, attempt in tasks]), now, True)
 
@@ -380,6 +412,27 @@
     assert not heir.doubtful
 
 
+def test_a_machine_that_came_after_the_last_pass_is_not_idle() -> None:
+    """Lent, told as idle before its part had looked at it, and lent back: two parts' machines went round for a minute."""
+    part = part_with([], "a")
+    part.on_report(report("vm-0", 1), 1.0, True)
+    part.schedule(1.0)
+    assert [name for name, _ in part.picture(9.0).idle] == ["vm-0"]
+    part.add_machine("vm-1", {"t": "g4", "z": "a", "s": False, "p": "red", "a": "10.1.0.2:9000", "n": 1}, 30, 9.0)
+    assert [name for name, _ in part.picture(9.0).idle] == ["vm-0"] and part.picture(9.0).seen < 30
+    part.schedule(9.1)
+    assert [name for name, _ in part.picture(9.1).idle] == ["vm-0", "vm-1"] and part.picture(9.1).seen == 30
+
+
+@pytest.mark.parametrize(
+    ("listed", "rented", "lag"),
+    [([], {}, 0.0), ([("a", 10.0)], {"a": 80.0}, 10.0), ([("a", 10.0), ("b", 4.0)], {"a": 80.0, "b": 80.0}, 16.0), ([("c", 1.0)], {}, 0.0)],
+)
+def test_how_old_a_list_is(listed: list[tuple[str, float]], rented: dict[str, float], lag: float) -> None:
+    """A list that lagged several times more than usual showed live machines to be gone, and gone ones to be there."""
+    assert lag_of(listed, rented, 100.0) == lag
+
+
 def test_a_machine_that_never_comes_up_is_given_up_whoever_owns_it() -> None:
     """Counted from its rental: it used to start anew with each takeover, and stood for a machine about to come."""
     record = {"t": "g4", "z": "a", "s": False, "p": "red", "at": 0.0}
