--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -9,9 +9,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ashdock.core.machine import capacity, less
+from ashdock.core.machine import capacity
 from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
-from ashdock.core.placement import Slots
+from ashdock.core.placement import Barren, Slots
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
 
@@ -67,6 +67,7 @@
 
 
 MOST_RENTED = 50  # in one request
+ANY_NEED = (0.0, 0.0, 0.0)  # what is to be recalled does not depend on how much a task takes
 
 Decision = Rent | Move | Recalled | Release | GivePart | Owed
 
@@ -86,7 +87,7 @@
         self.pool_since: dict[str, float] = {}
         self.sent_back: set[str] = set()  # to the pool, since nobody wanted them
         self.owed_at: dict[tuple[str, str], float] = {}  # by whom and to whom: when it was last asked for
-        self.barren: set[tuple] = set()  # type: ignore[type-arg]  # kinds of want for which this round has nothing left
+        self.barren = Barren()  # wants for which this round has nothing left
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
         self.settle_s = shared.workers.lease_s / 2
@@ -158,7 +159,7 @@
         unmet: list[tuple[str, Want, int]] = []
         spare = {picture.team: picture.spare_beyond for picture in pictures.values()}
         total = len(lent) + sum(rent.number for rent in self.renting_now)
-        self.barren = set()
+        self.barren = Barren()
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             if want.together and left > 0 and (want.whole or not want.zone):
@@ -192,7 +193,7 @@
                 total += 1
                 left -= per
                 if left < 0:
-                    on_the_way.setdefault(team, Slots()).add_rest(shape.label, zone, spot, self._rest(shape, want, per + left))
+                    on_the_way.setdefault(team, Slots()).add_rest(shape, zone, spot, (want.cpus, want.gpus, want.memory), per + left)
             if left > 0:
                 unmet.append((team, want, left))
         out += self._debts(unmet, {team: picture for team, picture in pictures.items() if team not in small}, lent, now)
@@ -276,10 +277,6 @@
 
         return want.tasks - rooms.take(suits, (want.cpus, want.gpus, want.memory), want.tasks)
 
-    @staticmethod
-    def _rest(shape: MachineType, want: Want, tasks: int) -> list[float]:
-        return less((shape.cpus, shape.accelerators, shape.ram_gb), (want.cpus, want.gpus, want.memory), tasks)
-
     @staticmethod
     def _suits(want: Want, kind: str, zone: str, spot: bool) -> bool:
         if want.types and kind not in want.types:
@@ -329,7 +326,7 @@
         # What can be recalled only grows less within a round: wants alike in all that counts need not look again.
         alike = ("recall", team, want.types, want.zone, want.spot, want.priority, want.guaranteed,
                  want.slack_s < self.boot_s, want.image if cached else None)  # fmt: skip
-        if left <= 0 or not busy or alike in self.barren:
+        if left <= 0 or not busy or self.barren.holds(alike, ANY_NEED, 1):
             return left
         options: list[tuple[float, str, Lent]] = []
         for name, (machine, at_work) in busy.items():
@@ -341,7 +338,7 @@
                 continue
             options.append((at_work.loss_s, name, machine))
         if not options:
-            self.barren.add(alike)
+            self.barren.note(alike, ANY_NEED, 1)
         for _, name, machine in sorted(options):
             if left <= 0:
                 break
@@ -357,8 +354,9 @@
         out: list[Decision], now: float, cached: bool = False,
     ) -> int:  # fmt: skip
         """Machines that stand empty need no boot."""
-        alike = ("lend", team, want.types, want.zone, want.spot, want.idle, want.cpus, want.gpus, want.memory, want.image if cached else None)
-        if left <= 0 or alike in self.barren:
+        alike = ("lend", team, want.types, want.zone, want.spot, want.idle, want.image if cached else None)
+        need = (want.cpus, want.gpus, want.memory)
+        if left <= 0 or self.barren.holds(alike, need, 1):
             return left
         options = [(0.0, machine) for machine in pool.values()]
         options += [(1.0, machine) for machine, _ in idle.values() if machine.part != team]
@@ -382,7 +380,7 @@
             idle.pop(machine.name, None)
             left -= per
         if left > 0:
-            self.barren.add(alike)
+            self.barren.note(alike, need, 1)
         return left
 
     def _cheap(self, want: Want) -> bool:
--- a/ashdock/core/park.py
+++ b/ashdock/core/park.py
@@ -85,9 +85,6 @@
         self.dirty = self.dirty or len(kept) != len(self.items)
         self.items = kept
 
-    def next_at(self) -> float | None:
-        return min((park.at for park in self.items), default=None)
-
     def values(self) -> list[list[Any]]:
         """The ranges, spilled over as many values as they need."""
         out: list[list[Any]] = [[]]
--- a/ashdock/core/placement.py
+++ b/ashdock/core/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from ashdock.core.job import Job
@@ -143,9 +143,11 @@
         key = (shape.label, zone, spot)
         self.whole[key] = (shape, self.whole.get(key, (shape, 0))[1] + number)
 
-    def add_rest(self, label: str, zone: str, spot: bool, free: Sequence[float]) -> None:
+    def add_rest(self, shape: MachineType, zone: str, spot: bool, need: Need, tasks: int) -> None:
+        """What is left of a machine once it has so many tasks."""
+        free = less((shape.cpus, shape.accelerators, shape.ram_gb), need, tasks)
         if all(amount > 1e-6 for amount in free[::2]):  # CPUs and memory: nothing runs without
-            self.rests.append((label, zone, spot, list(free)))
+            self.rests.append((shape.label, zone, spot, free))
 
     def zones(self, suits: Any, need: Need) -> dict[str, int]:
         """How many such tasks the whole machines of each zone would take."""
@@ -174,5 +176,5 @@
             self.whole[label, zone, spot] = (shape, number - used)
             last = min(left - (used - 1) * per, per)
             left -= (used - 1) * per + last
-            self.add_rest(label, zone, spot, less((shape.cpus, shape.accelerators, shape.ram_gb), need, last))
+            self.add_rest(shape, zone, spot, need, last)
         return tasks - left
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -113,7 +113,7 @@
         again.load(n, value, 9)
     assert sorted(again.items) == sorted(parks.items) and again.writes() == []
     due = again.due(109.5)
-    assert len(due) == 20 and again.next_at() == 110.0
+    assert len(due) == 20 and min(park.at for park in again.items) == 110.0
     assert any(value is None for _, value in again.writes())
 
 
