Machines are given up once, not anew each round; the state service's turns go by amount

Changed: what is being given up is noted; turns go by amount; what users ask weighs four times in the division of the limit; arrays of many short tasks beyond guarantees write when others need not. Ruled out: the cloud's limit (no call refused), the lagging list.

--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -1139,7 +1139,7 @@
         for job in list(self.touched.values()):
             if job.id not in self.jobs or not self._unwritten(job):
                 del self.touched[job.id]
-            elif job.pressing:
+            elif job.pressing and not self._bulk(job):
                 txn.urgent = True
                 if not self._write_job(job, txn):
                     break
@@ -1176,6 +1176,14 @@
         self.parks.wrote(n, value, revision)
         self.parks.dirty = bool(self.parks.writes())
 
+    def _bulk(self, job: Job) -> bool:
+        """An array of short tasks beyond any guarantee, still under way: others' writes go before its many."""
+        spec = job.spec
+        return (
+            job.active and spec.kind == "array" and spec.deadline_s is None and spec.tasks > self.chunk_tasks
+            and not guaranteed(self.team, spec.cpus, spec.gpus)
+        )  # fmt: skip
+
     @staticmethod
     def _unwritten(job: Job) -> bool:
         if job.phase is JobPhase.OVER or (job.phase is JobPhase.CANCELLED and not job.live):
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -54,6 +54,7 @@
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
         self.listed: dict[str, float] = {}  # machine: when the cloud first listed it
+        self.marking: set[str] = set()  # machines that are being given up
         self.unrecorded: dict[str, float] = {}  # machine: since when it is listed without a record
         self.lag_s = controller.shared.cloud.list_lag_s  # of the cloud's list, as far as it shows
         self.over = False
@@ -189,6 +190,17 @@
 
     async def _mark_all(self, names: list[str], why: str) -> None:
         """Give machines up durably before they are released, so that nobody lends them meanwhile."""
+        # Each round chooses the same machines again until this is written. Without a note of what is under way, each sent the
+        # same transactions once more: they filled the line for writes and made each other fail, and a pool of machines that
+        # nobody wanted stood there, paid for, to the end of the day.
+        names = [name for name in names if name not in self.marking]
+        self.marking.update(names)
+        try:
+            await self._mark_now(names, why)
+        finally:
+            self.marking.difference_update(names)
+
+    async def _mark_now(self, names: list[str], why: str) -> None:
         records: dict[str, tuple[int, dict[str, Any] | None]] = {}
         for name in names:
             entry = self._entry(name)
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -11,13 +11,19 @@
 
 
 class Turn(IntEnum):
-    """Who goes first. One of four turns goes to the next line all the same, so that none waits for ever."""
+    """Who goes first. A quarter goes to the next line all the same, by amount, so that none waits for ever. By number of
+    turns, an array's transactions of twenty writes took most of it while users' submissions of two were refused."""
 
     USER = 0  # somebody waits for the answer
     WORK = 1  # starts, outcomes and machines
     PATIENT = 2  # what only tidies up
 
 
+# How much what is asked counts when the controllers divide a service's limit: where an accept or a start is to be written
+# goes before where the most is.
+WEIGHT = {Turn.USER: 4.0, Turn.WORK: 1.0, Turn.PATIENT: 0.25}
+
+
 class Demand(NamedTuple):
     """What a controller asks of the state service a second, as it tells the others."""
 
@@ -36,7 +42,7 @@
         self.used = 0.0  # granted of late, fading by the second
         self.at = time.monotonic()
         self.lines: dict[Turn, deque[tuple[float, asyncio.Future[None]]]] = {turn: deque() for turn in Turn}
-        self.passed = dict.fromkeys(Turn, 0)  # how often those of a line have been passed over since its last turn
+        self.passed = dict.fromkeys(Turn, 0.0)  # how much has gone past those of a line since its last turn
         self.pump: asyncio.Task[None] | None = None
 
     @property
@@ -57,7 +63,7 @@
         need = min(min(amount, self.most) + floor, self.most)
         if self.left >= need - 1e-9:
             self.left -= amount
-            self.used += amount
+            self.used += amount * WEIGHT[turn]
             return 0.0
         return max((need - self.left) / self.per_s, 0.001)
 
@@ -73,20 +79,22 @@
 
     def _next(self) -> Turn | None:
         waiting = [turn for turn, line in self.lines.items() if line]
-        overdue = [turn for turn in waiting if self.passed[turn] >= 3]
-        return next(iter(overdue or waiting), None)
+        return next((turn for turn in waiting if self._overdue(turn)), next(iter(waiting), None))
+
+    def _overdue(self, turn: Turn) -> bool:
+        return self.passed[turn] >= 3 * self.lines[turn][0][0]
 
     async def _grant(self) -> None:
         while (turn := self._next()) is not None:
             amount, future = self.lines[turn][0]
             if not future.done():  # else whoever asked has given up
-                pause = self.take(amount, turn if self.passed[turn] < 3 else Turn.WORK)
+                pause = self.take(amount, Turn.WORK if self._overdue(turn) and turn is Turn.PATIENT else turn)
                 if pause > 0:
                     await asyncio.sleep(min(pause, 0.1))  # the share may grow, or a better one come, meanwhile
                     continue
                 future.set_result(None)
                 for other, line in self.lines.items():
-                    self.passed[other] = self.passed[other] + 1 if line and other > turn else 0
+                    self.passed[other] = self.passed[other] + amount if line and other > turn else 0.0
             self.lines[turn].remove((amount, future))
 
     @property
@@ -100,9 +108,10 @@
 
     @property
     def demand(self) -> float:
-        """What is asked for a second, as far as the last seconds tell."""
+        """What is asked for a second, as far as the last seconds tell, by its weight."""
         self._refill()
-        return self.used / 3 + self.queued
+        queued = sum(amount * WEIGHT[turn] for turn, line in self.lines.items() for amount, future in line if not future.done())
+        return self.used / 3 + queued
 
 
 def shares(total: float, size: int, ours: float, others: Sequence[float | None]) -> float:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -28,6 +28,7 @@
         self.holds: dict[int, tuple[float, float]] = {}  # ends at, ttl
         self.permits = 0
         self.down = False
+        self.slow = 0.0  # seconds more that it takes to answer
         self.lose_answers = 0.0  # share of transactions whose answer never comes
         self.apply_late = 0.0  # share of transactions applied only seconds later, unanswered
         self.rng = random.Random(net.rng.random())
@@ -72,7 +73,7 @@
             return await self._watch(words)
         if self.down:
             return reply(503, {"error": "trouble"})
-        await asyncio.sleep(0.003)
+        await asyncio.sleep(0.003 + self.slow)
         if path == "/txn":
             return await self._txn(json.loads(request.body))
         if path.startswith("/holds"):
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -40,6 +40,8 @@
     ([(1, WORK), (1, WORK)], [0, 1]), ([(1, PATIENT), (1, WORK)], [1, 0]), ([(10, WORK), (1, WORK)], [0, 1]),
     ([(10, WORK), (1, USER)], [1, 0]), ([(1, PATIENT), (1, WORK), (1, WORK), (1, WORK), (1, WORK)], [1, 2, 3, 0, 4]),
     ([(1, WORK), (1, USER), (1, USER), (1, USER), (1, USER)], [1, 2, 3, 0, 4]),
+    # By amount: a transaction of ten is let past three tens of small ones, not past three.
+    ([(4, WORK), *[(2, USER)] * 8], [1, 2, 3, 4, 5, 6, 0, 7, 8]),
 ]  # fmt: skip
 
 
@@ -77,6 +79,21 @@
     assert took <= 0.11 and queued == 0
 
 
+def test_what_users_ask_weighs_more_than_what_can_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The owner of an array of 25,000 tasks drew the limit to itself while other controllers refused submissions."""
+
+    async def main(net: simtime.Net) -> dict[Turn, float]:
+        demands = {}
+        for turn in Turn:
+            budget = Budget(10.0)
+            budget.take(4.0, turn)
+            demands[turn] = budget.demand
+        return demands
+
+    demands = simtime.run(main, 1, monkeypatch)
+    assert demands[USER] > 3 * demands[WORK] > 9 * demands[PATIENT]
+
+
 SHARES: list[tuple[float, list[Any], float]] = [  # our demand, those of two others -> our share of 60 among three
     (0.0, [0.0, 0.0], 20.0), (10.0, [0.0, 0.0], 40.0), (0.0, [10.0, 10.0], 10.0), (10.0, [10.0, 10.0], 20.0),
     (10.0, [None, None], 20.0), (10.0, [0.0, None], 30.0), (10.0, [], 60.0), (10.0, [0.0], 50.0),
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import Counter
 from typing import Any
 
@@ -10,6 +11,7 @@
 
 from ashdock.controller import Controller
 from ashdock.net.http import Client
+from tests import simtime
 from tests.simtime import spawn
 from tests.test_whole import play
 from tests.whole import Service, job
@@ -123,3 +125,31 @@
     play(monkeypatch, 23, day)
 
 
+
+
+def test_machines_are_given_up_once_however_slow_the_state_service(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each round of the leader sent the same transactions again: the line of writes grew faster than it was served, and a
+    pool of machines that nobody wanted was paid for to the end of the day (found in inc-0137 and a drawn day)."""
+
+    async def main(net: simtime.Net) -> Service:
+        service = Service(net, machines=40, capacity=40)
+        await service.start()
+        await asyncio.sleep(1)
+        inner = service.state.handle
+        marks: list[int] = []
+
+        async def count(request: Any) -> Any:
+            if request.target == "/txn":
+                writes = json.loads(request.body).get("writes", [])
+                marks.append(sum("x" in write.get("value", {}) for write in writes if write.get("set", "").startswith("machine/")))
+            return await inner(request)
+
+        service.state.server.handler = count
+        service.state.slow = 0.3
+        while service.world.workers:
+            await asyncio.sleep(1.0)
+            assert service.now() < 90
+        assert sum(marks) <= 2 * 40
+        return service
+
+    simtime.run(main, 24, monkeypatch)
