--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -51,7 +51,14 @@
         if not heard:
             service.net.cut(f"10.0.0.{at}", *(f"10.0.0.{n}" for n in range(3) if n != at))
         starts = service.rules.starts
-        await asyncio.sleep(25)
+        await asyncio.sleep(3)
+        if heard:  # it knows that the others are served, and says so at once
+            before = service.now()
+            client = Client(f"10.0.0.{at}", 8080, keep=0)
+            assert (await client.request("GET", "/ready", b"", 2.0))[0] == 503
+            assert (await client.request("GET", "/v2/runs/req-000001", b"", 2.0))[0] == 503
+            assert service.now() - before < 0.1
+        await asyncio.sleep(22)
         assert held <= set(service.world.workers)
         if heard:
             assert service.rules.starts == starts and "red" not in service.controllers[at].owners
@@ -153,3 +160,57 @@
         return service
 
     simtime.run(main, 24, monkeypatch)
+
+
+def test_a_very_large_array_of_short_tasks_costs_few_writes_through_a_crash(monkeypatch: pytest.MonkeyPatch) -> None:
+    """25,000 tasks of a few seconds each, on machines that hold a hundred: what is written goes by groups, not by tasks, and a
+    takeover in the middle goes on where the owner before had come to."""
+
+    async def day(service: Service) -> None:
+        await asyncio.sleep(2)
+        writes = [0]
+
+        def hook(some: list[dict[str, Any]]) -> None:
+            writes[0] += sum((write.get("set") or write["delete"]).startswith(("work/", "job/")) for write in some)
+
+        service.state.hook = hook
+        run = job(1, shares=1500, cpus=0.25, accelerators=0.0, ram_gb=1.0, expect_s=2.0, size_gb=0.5, urgency="best_effort")
+        await service.submit(run)
+        while len(service.rules.done) < 500:
+            await asyncio.sleep(0.2)
+            assert service.now() < 60
+        service.crash(next(n for n, c in service.controllers.items() if "red" in c.owners), 2.0)
+        assert await service.until_final(["req-000001"], 90) == []
+        assert writes[0] < 1500 / 4
+        # Nothing that had ended well was started again, but for what the crash kept from being written.
+        assert service.rules.starts < 1500 * 1.2
+
+    play(monkeypatch, 25, day)
+
+
+def test_a_job_with_a_mistake_is_told_early_and_cancelled_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its reason is there from the first failure on; parked or being tried again, it ends when its user cancels it; and the
+    machines that it failed on are not given up for it."""
+
+    async def day(service: Service) -> None:
+        runs = [job(n, shares=4, fails=1000) for n in (1, 2, 3)]
+        for run in runs:
+            await service.submit(run)
+        while not all("error on vm-" in service.answers.get(run["id"], {}).get("reason", "") for run in runs):
+            await asyncio.sleep(0.5)
+            for run in runs:
+                await service.poll(run["id"])
+            assert service.now() < 30
+        await asyncio.sleep(10)
+        before = set(service.world.workers)
+        sound = job(9, shares=4)
+        await service.submit(sound)
+        assert await service.until_final([sound["id"]], 40) == []
+        for run in runs:
+            assert await service.withdraw(run["id"]) == "withdrawn"
+        await asyncio.sleep(service.rules.cancel_s / 2)
+        assert not any(service.rules.on.values())
+        assert not any(path.startswith(("work/", "park/")) and value for path, (value, _, _) in service.state.keys.items())
+        assert not any("suspect" in str(value) for value, _, _ in service.state.keys.values()) and before
+
+    play(monkeypatch, 26, day)
