A takeover tells of no job that it is done before that is durable; guests' worth in a module of its own

Cause, found by reading the change again: what a takeover reads was taken in for users' answers (since questions are compared in bunches), also jobs whose tasks are all done and whose outcome is not written yet. Another controller would have said queued after that done: went_back. Test: test_a_job_is_told_done_only_once_that_is_durable (fails without). core/worth.py: what was promised, in what time, and how much room pays; out of core/part.py, behaviour as it was.

--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -22,13 +22,13 @@
 from ashdock.core.machine import Machine, MachinePhase, capacity
 from ashdock.core.quota import Usage, guaranteed
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
+from ashdock.core.worth import Worth
 from ashdock.settings import Operators, Shared, Team
 from ashdock.wire.messages import ENDED, FORGET, KILL, RUN, Held, MachineType, Order, Report, Spec, split_task, task_name
 
 log = logging.getLogger("ashdock.part")
 
 ORDERS_AT_ONCE = 200  # keeps an answer to a worker well under 64 KiB
-SPREAD_BOOTS = 4  # an array of short tasks without a deadline is given room to be through in so many boots' time
 FETCHES_AHEAD = 4  # how many fetches longer a job may have waited that is overtaken by one whose image is at hand
 BOOTS_BACK = 4  # how many boots' time of arrivals tells what is to be expected
 MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
@@ -154,6 +154,7 @@
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.usage = Usage(team)
+        self.worth = Worth(team, shared, catalog)
         self.parks = parking.Parks(team.name, int(shared.state.value_kb * 1024 * 0.9))
         self.chunk_tasks = chunk_size(shared.state.value_kb)
         self.strange: dict[str, set[str]] = {}  # job: machines where it runs without a placement
@@ -777,7 +778,7 @@
         if job.doubtful:
             return (-spec.priority, 9.0, job.submitted)
         if spec.kind == "array" and spec.deadline_s is None:
-            return (-spec.priority, *self._without_deadline(job, now), job.submitted)
+            return (-spec.priority, *self.worth.rank(job, self.run_s(spec), now), job.submitted)
         if spec.deadline_s is None:
             ahead = 0.0
             if look is not None and look.holders(spec, spec.tasks if spec.kind == "gang" else 1):
@@ -791,15 +792,6 @@
             rank = 0.0
         return (-spec.priority, rank, (spec.tasks - job.done) * self.run_s(spec) * max(spec.gpus, 1.0))
 
-    def _without_deadline(self, job: Job, now: float) -> tuple[float, float]:
-        """Of arrays that have none, what was promised something goes first, and the least work first, for the same reason as
-        among deadlines. Hundreds of tiny jobs waited for an array of 25,000, and both for idle-time scans of five minutes."""
-        spec = job.spec
-        rank = 0.0 if self.promised(spec) else 5.0
-        if now - job.submitted > 4 * self._span(spec):
-            return rank, 0.0  # nothing starves
-        return rank, (spec.tasks - job.done) * self.run_s(spec) * (spec.gpus or spec.cpus)
-
     def _turn(self, job: Job, now: float) -> tuple[float, float]:
         """When not all can start in time, the most do if the small go first while they are in time for the first
         aim. Before the last aim passes the large have their turn; what is late for all goes last, but not for ever."""
@@ -981,7 +973,7 @@
         for job, missing, zone in short:
             spec = job.spec
             if not guaranteed(self.team, cpus + spec.cpus * missing, gpus + spec.gpus * missing):
-                missing = min(missing, self._worthwhile(job))
+                missing = min(missing, self.worth.pays(job, self.run_s(spec)))
             cpus += spec.cpus * missing
             gpus += spec.gpus * missing
 
@@ -995,33 +987,11 @@
                         spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
                         spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
                         self.slack(job, now), spec.image, spec.tasks if spec.one_zone and not spec.zone and zone else 0,
-                        not self.promised(spec),
+                        not self.worth.promised(spec),
                     )
                 )  # fmt: skip
         return out
 
-    def promised(self, spec: Spec) -> bool:
-        """Whether anybody was told when it would run. What was promised nothing uses what is cheap or idle."""
-        if self.team.cpus > 0 or self.team.gpus > 0 or spec.deadline_s is not None or spec.kind == "service":
-            return True
-        return any(o.job_class == spec.job_class for o in self.shared.objectives)
-
-    def _span(self, spec: Spec) -> float:
-        """In what time an array without a deadline had better be through: half its aim, or a few boots."""
-        span = SPREAD_BOOTS * max((shape.boot_s for shape in self.catalog.values()), default=self.workers.lease_s)
-        aims = [o.within_s for o in self.shared.objectives if o.kind == "finished" and o.job_class == spec.job_class and o.within_s]
-        return max([span, *(aim / 2 for aim in aims)])
-
-    def _worthwhile(self, job: Job) -> int:
-        """How many more tasks of it are worth room of their own. Room for each of thousands of short tasks is up only when
-        the first of them have long made way: an array of 25,000 tasks of a few seconds each asked for 195 machines."""
-        spec = job.spec
-        if spec.kind != "array" or spec.deadline_s is not None:
-            return job.ready
-        span = self._span(spec)
-        each = self.run_s(spec) + 2 * self.workers.report_s  # until the next one runs in its place
-        return max(0, math.ceil((job.ready + len(job.live)) * each / span) - len(job.live))
-
     def came(self, job: Job, now: float) -> None:
         """A new job, and not one read at a takeover: what has come of late tells what is to be expected."""
         if job.spec.deadline_s is None and job.spec.kind != "service":
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -143,7 +143,8 @@
         mine = [(entry.path.split("/", 1)[1], entry.value, entry.stamp) for entry in machines if entry.value["p"] == name]
         part.load(mine, list(work), list(parks), self.controller.now())
         for job in part.jobs.values():
-            self.controller.front.saw(job.id, job.record(), job.stamp)
+            if job.active:  # one whose outcome is still to be written is not over for its user yet
+                self.controller.front.saw(job.id, job.record(), job.stamp)
         part.seen = max(part.seen, seen)
         self._loaded()
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
 from ashdock.core.part import Busy, Owed, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
+from ashdock.core.worth import Worth
 from ashdock.leader import gone_from, lag_of
 from ashdock.settings import Objective, Operators, Renting, Retry, Team
 from ashdock.wire.messages import Held, MachineType, Report, decode_run, encode, spec_of
@@ -363,7 +364,7 @@
 def test_room_for_short_tasks_goes_by_their_work(tasks: int, run_s: float, due_s: float | None, asked: int) -> None:
     """An array of 25,000 tasks of 4 s each asked for room for all at once: 195 machines."""
     part = part_with([spec(shares=tasks, expect_s=run_s, due_s=due_s, accelerators=0.0)], "")
-    part.team = Team("red")  # a guest: nothing is guaranteed
+    part.team = part.worth.team = Team("red")  # a guest: nothing is guaranteed
     part.schedule(1.0)
     assert part.wants[0].tasks == asked and part.wants[0].idle is (due_s is None)
 
@@ -375,8 +376,8 @@
         spec(3, shares=1, expect_s=4.0, accelerators=0.0),
     ]  # fmt: skip
     part = part_with(jobs, "")
-    part.team = Team("red")
-    part.shared = msgspec.structs.replace(part.shared, objectives=[Objective("finished", 0.5, "w", 400.0)])
+    aims = [Objective("finished", 0.5, "w", 400.0)]
+    part.worth = Worth(Team("red"), msgspec.structs.replace(part.shared, objectives=aims), part.catalog)
     assert [job.id[-1] for job in part.waiting(9.0)] == ["3", "2", "1"]
     part.jobs["req-000002"].submitted = -2000.0  # long overdue: nothing starves
     assert [job.id[-1] for job in part.waiting(9.0)] == ["2", "3", "1"]
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ashdock.controller import Controller
-from ashdock.net.http import Client
+from ashdock.net.http import Client, NoAnswer
 from tests import simtime
 from tests.simtime import spawn
 from tests.test_whole import play
@@ -218,3 +218,38 @@
         assert not any("suspect" in str(value) for value, _, _ in service.state.keys.values()) and before
 
     play(monkeypatch, 26, day)
+
+
+def test_a_job_is_told_done_only_once_that_is_durable(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A new owner that reads all tasks done and no outcome must not tell its user so before the outcome is written: another
+    controller, which compares the record, would still say queued after that."""
+
+    async def day(service: Service) -> None:
+        await service.submit(job(1, shares=1, expect_s=500.0))
+        path = "work/red/req-000001/0"
+        while not service.state.keys.get(path, ({}, 0, 0))[0].get("p"):
+            await asyncio.sleep(0.2)
+        inner = service.state.handle
+
+        async def slow(request: Any) -> Any:
+            if request.target == "/txn" and b'"status":"done"' in request.body:
+                await asyncio.sleep(1e6)
+            return await inner(request)
+
+        service.state.server.handler = slow
+        for n in range(3):
+            service.crash(n, 1.0)
+        _, stamp, permit = service.state.keys[path]
+        service.state.keys[path] = ({"a": 1, "d": [[0, 0]]}, stamp, permit)
+        answers = set()
+        while service.now() < 25:
+            for n in range(3):
+                try:
+                    status, body = await Client(f"10.0.0.{n}", 8080, keep=0).request("GET", "/v2/runs/req-000001", b"", 2.0)
+                    answers.add(json.loads(body).get("status") if status == 200 else str(status))
+                except NoAnswer:
+                    pass
+            await asyncio.sleep(0.1)
+        assert "queued" in answers and "done" not in answers
+
+    play(monkeypatch, 27, day)
