--- a/tests/standins.py
+++ b/tests/standins.py
@@ -363,6 +363,8 @@
         self.gangs: dict[tuple[str, int], list[tuple[Worker, str]]] = {}  # they complete jointly
         self.number = 0
         self.down = False
+        self.lag = 0.0  # how old the machine lists are that it gives
+        self.lists: list[tuple[float, list[dict[str, Any]]]] = []
         self.born: dict[str, float] = {}
 
     async def start(self) -> None:
@@ -422,9 +424,15 @@
                     worker.die()
             return reply(200, {})
         now = asyncio.get_running_loop().time()
+        self._list(now)
+        hosts = next((hosts for at, hosts in reversed(self.lists) if at <= now - self.lag), [])
+        return reply(200, {"berths": hosts, "truncated": False})
+
+    def _list(self, now: float) -> None:
+        """What the list shows of this moment, once that is as old as lists are."""
         hosts = [
             {"id": w.name, "address": w.address, "hull": w.kind, "yard": w.zone, "loaners": w.spot, "status": "running",
              "age_s": now - self.born[w.name]}
             for w in self.workers.values()
         ]  # fmt: skip
-        return reply(200, {"berths": hosts, "truncated": False})
+        self.lists.append((now, hosts))
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -99,6 +99,14 @@
     service.world.down = False
 
 
+async def list_lags(service: Service) -> None:
+    """The list is ten times as old as the settings say, also of a machine that dies and of those rented in its place."""
+    service.world.lag = 10.0
+    await asyncio.sleep(9)
+    service.world.workers["vm-000001"].die()
+    service.crash(1)
+
+
 async def all_at_once(service: Service) -> None:
     service.state.lose_answers = 0.1
     await asyncio.sleep(6)
@@ -113,7 +121,7 @@
 
 
 FAULTS = [quiet, crash_one, crash_all, roll, state_down, answers_lost, applied_late, workers_die, node_without_workers,
-          node_without_state, node_alone, cloud_down, all_at_once]  # fmt: skip
+          node_without_state, node_alone, cloud_down, list_lags, all_at_once]  # fmt: skip
 
 
 def play(monkeypatch: pytest.MonkeyPatch, seed: int, day: Callable[[Service], Awaitable[Any]]) -> Service:
