--- a/ashdock/cli.py
+++ b/ashdock/cli.py
@@ -8,7 +8,7 @@
 import sys
 
 from ashdock import __version__
-from ashdock.settings import Settings, SettingsError, load
+from ashdock.settings import Settings, SettingsError, StateLimits, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -73,9 +73,15 @@
         raise SettingsError(f"{operators}: cannot be read: no such file")
     teams = ", ".join(team.name for team in settings.settings.teams)
     print(f"{file}: good: controller {settings.label} of {settings.settings.size}, teams {teams}")
+    state = settings.settings.state
+    print(f"state service: {_limits(state)}" + (f"; later no more than {_limits(state.smaller())}" if state.next else ""))
     return 0
 
 
+def _limits(state: StateLimits) -> str:
+    return f"{state.rps:g} requests and {state.write_rps:g} changes a second, {state.value_kb:g} KiB a value, {state.txn_ops} changes a transaction"
+
+
 def serve(settings: Settings) -> int:
     set_up_logging()
     import asyncio
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ashdock.core.bounds import Bounds
+from ashdock.core.job import spec_of_record
 from ashdock.core.part import Owed, Part, Picture, Recalled
 from ashdock.front import Front
 from ashdock.leader import Leader
@@ -21,7 +23,8 @@
 from ashdock.net.worker import WorkerClient
 from ashdock.owner import Owner, OwnerPhase
 from ashdock.settings import Settings, Team, address
-from ashdock.wire.frames import Beat, Claims, Counts, Frame, Give, Relay, Relayed, Yield
+from ashdock.upgrade import Upgrade
+from ashdock.wire.frames import Ahead, Beat, Claims, Counts, Frame, Give, Relay, Relayed, Yield
 from ashdock.wire.messages import MachineType
 
 log = logging.getLogger("ashdock.controller")
@@ -41,7 +44,9 @@
         self.ttl_s = max(self.workers.lease_s / 6, 1.0)
         self.tick_s = min(self.workers.report_s / 4, self.ttl_s / 8)
         self.gather_s = self.tick_s / 16
-        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared)
+        self.bounds = Bounds(self.shared.state)
+        self.upgrade = Upgrade(self)
+        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared, self.bounds)
         self.cloud = CloudClient(*address(settings.outside.cloud, "outside.cloud"), self.shared)
         self.worker_client = WorkerClient(self.workers.lease_s / 5, 10 * self.workers.report_s)
         peers = [(other.label, *address(other.endpoint, "others")) for other in settings.others]
@@ -62,6 +67,7 @@
         self.remote_counts: dict[str, dict[str, tuple[int, int]]] = {}
         self.relays: dict[int, asyncio.Future[Relayed]] = {}
         self.relay_number = 0
+        self.told_ahead: set[str] = set()  # parts whose jobs need others', as last told
         self.last_report = self.started = time.monotonic()
         self.fit = True  # as our entry among the members says
         self.front = Front(self)
@@ -82,7 +88,7 @@
         await self.server.start(*address(self.settings.bind, "bind"))
         await self.mesh.start(*address(self.settings.mesh_addr, "mesh_addr"))
         log.info("controller %s in %s listens on %s", self.label, self.settings.area, self.settings.bind)
-        loops = [self._membership, self._ownership, self._gossip, self._learn_catalog]
+        loops = [self._membership, self._ownership, self._gossip, self._learn_catalog, self.upgrade.look]
         tasks = [asyncio.create_task(replica.run()) for replica in (self.machines, self.parts, self.members, self.leaders, self.jobs)]
         tasks += [asyncio.create_task(self._forever(loop)) for loop in loops]
         try:
@@ -238,15 +244,22 @@
             self.catalog.update(await self.cloud.catalog())
         except CloudTrouble:
             if not self.catalog:
-                entry = await self.state.get("catalog")
-                if entry:
+                entries, _ = await self.state.under("catalog")
+                for entry in entries:
                     self.catalog.update(msgspec.convert(entry.value, dict[str, MachineType]))
             return self.tick_s * 4
         if self.leader or not await self.state.get("catalog", turn=Turn.PATIENT):
-            value = msgspec.to_builtins(self.catalog)
-            await self.state.txn({}, {"catalog": value}, turn=Turn.PATIENT)
+            for path, value in self._catalog_values().items():
+                await self.state.txn({}, {path: value}, turn=Turn.PATIENT)
         return 60.0
 
+    def _catalog_values(self) -> dict[str, Any]:
+        """One value, as long as the state service takes it; beyond that as many as they need."""
+        shapes = msgspec.to_builtins(self.catalog)
+        if not self.bounds.agreed or len(msgspec.json.encode(shapes)) <= self.bounds.value_bytes:
+            return {"catalog": shapes}
+        return {f"catalog/{label}": {label: shape} for label, shape in shapes.items()}
+
     # -- ownership ---------------------------------------------------------------------------------------------------
 
     def others_may_return(self) -> bool:
@@ -265,7 +278,7 @@
     async def _ownership(self) -> float:
         # The jobs too: a part read before their watch has begun would miss what is accepted in between.
         replicas = (self.parts, self.members, self.machines, self.jobs)
-        if not (self.catalog and all(replica.ready.is_set() for replica in replicas)):
+        if not (self.catalog and self.upgrade.looked and all(replica.ready.is_set() for replica in replicas)):
             return self.tick_s / 4
         if self.hold is None or time.monotonic() > self.hold_until:
             return self.tick_s
@@ -320,18 +333,20 @@
             return
         job_id = path.split("/", 1)[1]
         self.front.saw(job_id, value, stamp)
-        owner = self.owners.get(value["spec"]["team"] if isinstance(value["spec"], dict) else value["spec"].team)
-        if owner is None:
-            return
-        if value["status"] == "queued":
+        owner = self.owners.get(spec_of_record(value).team)
+        status = value["status"]
+        if owner is not None and status == "queued":
             owner.note(lambda part: self._job_news(part, job_id, value, stamp))
-        elif value["status"] == "withdrawn":
+        elif owner is not None and status == "withdrawn":
             owner.note(lambda part: part.cancel(job_id, value.get("cancelled_at", self.now()), stamp, self.now()))
+        if status != "queued":
+            for other in list(self.owners.values()):
+                if other.waits_for(job_id):
+                    other.note(lambda part: part.settled(job_id, status, value.get("done_at"), self.now()))
 
     def _job_news(self, part: Part, job_id: str, value: Any, stamp: int) -> None:
         if job_id not in part.jobs and not self.front.is_final(job_id):
-            job = part.add_job(value if isinstance(value["spec"], dict) else msgspec.to_builtins(value), stamp)
-            part.came(job, self.now())
+            part.came(part.add_job(value, stamp), self.now())
 
     # -- the mesh ------------------------------------------------------------------------------------------------------------
 
@@ -350,12 +365,32 @@
                 counts += owner.part.counts()
                 if leader and leader != self.label:
                     self.mesh.send(leader, owner.part.picture(self.now()))
+        self._tell_ahead()
         # As many frames as they need; each other controller keeps what it was told of jobs that still count.
         for at in range(0, len(counts), COUNTS_AT_ONCE):
             self.mesh.broadcast(Counts(counts[at : at + COUNTS_AT_ONCE]))
         self.worker_client.sweep()
         return self.mesh.beat_s
 
+    def _tell_ahead(self) -> None:
+        """What our parts' jobs make of other parts' jobs that they need: said anew with each beat, as long as there is any."""
+        if not self.upgrade.agreed:
+            return
+        for team, owner in self.owners.items():
+            if owner.phase is not OwnerPhase.ACTIVE or not owner.part:
+                continue
+            rows = owner.part.needs.abroad(owner.part.jobs)
+            if rows or team in self.told_ahead:
+                ahead = Ahead(team, rows[:COUNTS_AT_ONCE])
+                self.mesh.broadcast(ahead)
+                self._heard_ahead(ahead)
+            (self.told_ahead.add if rows else self.told_ahead.discard)(team)
+
+    def _heard_ahead(self, ahead: Ahead) -> None:
+        for team, owner in self.owners.items():
+            if team != ahead.part:
+                owner.note(lambda part: part.hear_needs(*ahead))
+
     def tell_claims(self) -> None:
         claims = [(team, owner.part.stamp) for team, owner in self.owners.items() if owner.part]
         if claims:
@@ -429,6 +464,8 @@
                 self._for_part(frame)
             case Claims():
                 self._claims_of(label, frame)
+            case Ahead():
+                self._heard_ahead(frame)
             case Counts(jobs):
                 known = self.remote_counts.setdefault(label, {})
                 if len(known) > 20 * COUNTS_AT_ONCE:
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
-from ashdock.core.task import Failure, Placement, TaskState, ranges_of
+import msgspec
+
+from ashdock.core.needs import NOTHING, Carried
+from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.wire.messages import Spec
 
 # The widest a task can be in a chunk: a placement and a failure with its reason, in bytes.
@@ -17,6 +21,7 @@
     ACTIVE = "active"
     CANCELLED = "cancelled"  # durably; its tasks are still to be confirmed gone
     OVER = "over"  # its last task is done; the outcome is being written
+    ORPHANED = "orphaned"  # a job that it needs is cancelled, durably; that it is too is being written
     FINAL = "final"  # the outcome is durable
 
 
@@ -39,14 +44,29 @@
         return self.gen
 
 
+class Wider(NamedTuple):
+    """A chunk of an earlier, wider layout. For each of its tasks the narrower chunk that is there has the word."""
+
+    stamp: int
+    low: int
+    high: int  # beyond its last task
+
+
 class Job:
-    def __init__(self, spec: Spec, submitted: float, stamp: int, chunk_tasks: int) -> None:
+    def __init__(self, spec: Spec, submitted: float, stamp: int, chunk_tasks: int, plain_tasks: int = 0) -> None:
         self.spec = spec
         self.id = spec.id
         self.submitted = submitted
+        self.since = submitted  # when it could first have started: what it needs was done
+        self.waits = False  # for other jobs: none of its tasks may be placed
+        self.carried: Carried = NOTHING  # from the jobs that need it
         self.stamp = stamp  # of job/<id>, and of the copy beside the work: they are only written together
         self.phase = JobPhase.ACTIVE
         self.chunk_tasks = chunk_tasks
+        # Chunks of this width are written as versions before did, which could not say how wide theirs were.
+        self.plain_tasks = plain_tasks or chunk_tasks
+        self.wider: dict[str, Wider] = {}  # by the end of their key
+        self.ended_at: float | None = None  # when its last task was known to be done
         self.states = bytearray(spec.tasks)
         self.done = 0
         self.hint = 0  # no task below is ready
@@ -139,11 +159,25 @@
         self.cancelled_at = at
         self.changed()
 
-    def over(self) -> None:
+    def over(self, at: float | None = None) -> None:
         """Its last task is done: the outcome is to be written."""
         self.phase = JobPhase.OVER
+        self.ended_at = at
+        self.changed()
+
+    def orphan(self, by: str, at: float) -> None:
+        """A job that it needs is cancelled, so it can never run: that outcome is to be written."""
+        self.phase = JobPhase.ORPHANED
+        self.waits = False
+        self.cancelled_at = at
+        self.reason = f"it needs {by}, which was cancelled"
         self.changed()
 
+    def released(self, since: float) -> None:
+        """All that it needs is done."""
+        self.waits = False
+        self.since = max(self.submitted, since)
+
     def set_reason(self, reason: str) -> None:
         if reason != self.reason:
             self.reason = reason
@@ -194,6 +228,22 @@
     def active(self) -> bool:
         return self.phase is JobPhase.ACTIVE
 
+    @property
+    def settled(self) -> bool:
+        """Whether its outcome can be written: nothing of it is left anywhere."""
+        return self.phase is JobPhase.OVER or (self.phase in (JobPhase.CANCELLED, JobPhase.ORPHANED) and not self.live)
+
+    @property
+    def priority(self) -> int:
+        """At least that of any job that needs it."""
+        return max(self.spec.priority, self.carried.priority)
+
+    @property
+    def due(self) -> float:
+        """When it had better be done: by its own deadline, and for what needs it to be in time."""
+        own = math.inf if self.spec.deadline_s is None else self.submitted + self.spec.deadline_s
+        return min(own, self.carried.finish_by)
+
     @property
     def running(self) -> int:
         return sum(1 for placement in self.live.values() if placement.status == "running")
@@ -201,7 +251,55 @@
     # -- the state service's form ----------------------------------------------------------
 
     def path(self, n: int) -> str:
-        return f"work/{self.spec.team}/{self.id}/{n}"
+        return self.work_path(self.tail(n))
+
+    def work_path(self, tail: str) -> str:
+        return f"work/{self.spec.team}/{self.id}/{tail}"
+
+    def tail(self, n: int) -> str:
+        return f"{n}" if self.chunk_tasks == self.plain_tasks else f"{n}w{self.chunk_tasks}"
+
+    def of_tail(self, tail: str) -> tuple[int, int]:
+        """Which chunk of what width a key names."""
+        n, _, width = tail.partition("w")
+        return int(n), int(width) if width else self.plain_tasks
+
+    def chunk_wrote(self, tail: str, stamp: int) -> None:
+        """What the key holds now (0: nothing), whether of this layout or of one before."""
+        n, width = self.of_tail(tail)
+        if width == self.chunk_tasks:
+            self.chunk(n).stamp = stamp
+        elif stamp:
+            self.wider[tail] = Wider(stamp, n * width, min((n + 1) * width, self.spec.tasks))
+        else:
+            self.wider.pop(tail, None)
+        self.changed()
+
+    def narrow(self, width: int) -> None:
+        """Go over to narrower chunks: a value would be larger than the state service takes. What is written stays, and counts
+        for each task until the narrower chunk that takes it over is durable; only then is it deleted."""
+        before, old = self.chunks, self.chunk_tasks
+        self.wider |= {
+            self.tail(n): Wider(chunk.stamp, n * old, min((n + 1) * old, self.spec.tasks)) for n, chunk in before.items() if chunk.stamp
+        }  # fmt: skip
+        self.chunks = {}
+        self.chunk_tasks = width
+        for n, chunk in before.items():
+            if not chunk.stamp and not chunk.gen:
+                continue
+            for piece in self.pieces(n * old, min((n + 1) * old, self.spec.tasks)):
+                piece.attempts = max(piece.attempts, chunk.attempts)
+                piece.touch()
+        for task, placement in self.live.items():
+            chunk = self.chunk_of(task)
+            chunk.live[task] = placement
+            if placement.phase is Phase.INTENDED:
+                placement.gen = chunk.placed = chunk.gen
+        self.changed()
+
+    def pieces(self, low: int, high: int) -> list[Chunk]:
+        """The chunks of the present layout that hold any of these tasks."""
+        return [self.chunk(n) for n in range(low // self.chunk_tasks, (high - 1) // self.chunk_tasks + 1)]
 
     @property
     def head_path(self) -> str:
@@ -232,44 +330,85 @@
             value["f"] = failed
         return value
 
-    def load_chunk(self, n: int, value: dict[str, Any], stamp: int, now: float) -> list[Placement]:
-        chunk = self.chunk(n)
-        chunk.stamp = stamp
-        chunk.attempts = value.get("a", 0)
+    def load_chunks(self, found: Iterable[tuple[str, Any, int]], now: float) -> list[Placement]:
+        """Take its chunks in, by the end of their keys. Where the job was going over to narrower ones both are there: for each
+        task the narrowest has the word, and the rest of the way is gone from here."""
+        rows = sorted((*reversed(self.of_tail(tail)), tail, value, stamp) for tail, value, stamp in found)
+        if not rows:
+            return []
+        self.chunk_tasks = rows[0][0]
+        taken = bytearray(self.spec.tasks)
+        out: list[Placement] = []
+        for width, n, tail, value, stamp in rows:
+            low, high = n * width, min((n + 1) * width, self.spec.tasks)
+            out += self._load(value, taken, now)
+            taken[low:high] = b"\1" * (high - low)
+            if width == self.chunk_tasks:
+                chunk = self.chunk(n)
+                chunk.stamp = stamp
+                chunk.attempts = max(chunk.attempts, value.get("a", 0))
+                chunk.durable = chunk.gen
+                continue
+            self.wider[tail] = Wider(stamp, low, high)
+            for chunk in self.pieces(low, high):
+                if not chunk.stamp:
+                    chunk.attempts = max(chunk.attempts, value.get("a", 0))
+                    chunk.touch()
+        return out
+
+    def _load(self, value: dict[str, Any], taken: bytearray, now: float) -> list[Placement]:
         for low, high in value.get("d", []):
             for task in range(low, high + 1):
-                self._set(task, TaskState.DONE)
+                if not taken[task]:
+                    self._set(task, TaskState.DONE)
         for low, high, *failure in value.get("f", []):
             for task in range(low, high + 1):
-                self.fails[task] = Failure(*failure)
-                self.failed = max(self.failed, self.fails[task].times)
+                if not taken[task]:
+                    self.fails[task] = Failure(*failure)
+                    self.failed = max(self.failed, self.fails[task].times)
         out = []
         for task, machine, attempt in value.get("p", []):
-            placement = self.place(task, machine, attempt, now)
-            placement.inherited()
-            out.append(placement)
-        chunk.durable = chunk.gen
+            if not taken[task]:
+                out.append(self.place(task, machine, attempt, now))
+                out[-1].inherited()
         return out
 
     def record(self) -> dict[str, Any]:
         """`job/<id>`: all that is ever answered about the job, kept forever."""
         status = "done" if self.phase in (JobPhase.OVER, JobPhase.FINAL) else "queued"
-        if self.phase is JobPhase.CANCELLED:
+        if self.phase in (JobPhase.CANCELLED, JobPhase.ORPHANED):
             status = "withdrawn"
-        return job_record(self.spec, self.submitted, status, self.reason, self.cancelled_at)
+        return job_record(self.spec, self.submitted, status, self.reason, self.cancelled_at, self.ended_at)
 
 
 def job_record(
-    spec: Spec, submitted: float, status: str = "queued", reason: str | None = None, cancelled_at: float | None = None
-) -> dict[str, Any]:
+    spec: Spec, submitted: float, status: str = "queued", reason: str | None = None, cancelled_at: float | None = None,
+    done_at: float | None = None,
+) -> dict[str, Any]:  # fmt: skip
     record: dict[str, Any] = {"spec": spec, "at": submitted, "status": status}
     if reason:
         record["reason"] = reason
     if cancelled_at is not None:
-        record["cancelled_at"] = cancelled_at
+        record["cancelled_at"] = round(cancelled_at, 3)
+    if done_at is not None:
+        record["done_at"] = round(done_at, 3)
     return record
 
 
+def spec_of_record(record: dict[str, Any]) -> Spec:
+    """As read from the state service, or as we wrote it a moment ago."""
+    spec = record["spec"]
+    return spec if isinstance(spec, Spec) else msgspec.convert(spec, Spec)
+
+
+def fitting(record: dict[str, Any], most: int) -> dict[str, Any]:
+    """The record of a job that is over, without what nobody asks for any more if it is too large as it stands."""
+    if len(msgspec.json.encode(record)) <= most:
+        return record
+    spec = msgspec.structs.replace(spec_of_record(record), job_class="", image="", types=None, needs=msgspec.UNSET)
+    return {**record, "spec": spec}
+
+
 def chunk_size(value_kb: float) -> int:
     """Tasks to a chunk, so that the fullest one still fits a value."""
     return max(1, int(value_kb * 1024 * 0.9) // TASK_BYTES)
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -63,13 +63,19 @@
         self.inherited = False  # it was up for the owner before, and has not reported to us
         self.to: str | None = None  # asked to go to this part ("" the pool) once empty
 
-    def value(self, part: str) -> dict[str, Any]:
+    def value(self, part: str, most: int = 1 << 20) -> dict[str, Any]:
+        """Its record, of no more than so many bytes."""
         value: dict[str, Any] = {"t": self.type, "z": self.zone, "s": self.spot, "a": self.address, "p": part}
         value["at"] = round(self.rented, 3)
         if self.dated:
             value["r"] = 1
         # The next part's owner is told which images it need not wait for.
-        value["i"] = [[image, self.images[image]] for image in list(reversed(self.images))[:12]]
+        value["i"] = []
+        room = most - 512 - 2 * len(self.name) - len(self.why)
+        for image in list(reversed(self.images))[:12]:
+            room -= 40 + 4 * len(image)
+            if room >= 0:
+                value["i"].append([image, self.images[image]])
         if self.tenure:
             value["n"] = self.tenure  # and can give orders before the worker has found it
         if self.phase is MachinePhase.DOOMED:
--- /dev/null
+++ b/ashdock/core/needs.py
@@ -0,0 +1,158 @@
+"""What a part's jobs wait for: other jobs, of any part, that have to be done first.
+
+The edges are those of the part's own waiting jobs; what they name may be anywhere. An outcome arrives once it is durable and
+then never changes, so whatever is decided from it holds for good. Priority and deadline are carried back along the edges; how
+much work that is goes by the edges touched, and nothing recurses.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Carried(NamedTuple):
+    """What a job owes to those that need it."""
+
+    priority: int = -1
+    finish_by: float = math.inf  # when it had better be done, for the last of them to be in time
+
+    def with_(self, other: Carried) -> Carried:
+        return Carried(max(self.priority, other.priority), min(self.finish_by, other.finish_by))
+
+
+NOTHING = Carried()
+
+
+class _Waiting:
+    __slots__ = ("level", "open", "own", "since", "takes")
+
+    def __init__(self, needs: Iterable[str], own: Carried, takes: float, since: float, level: int) -> None:
+        self.open = set(needs)  # those not known to be done
+        self.own = own
+        self.takes = takes  # from when it may start until it is done, as far as can be told
+        self.since = since  # when the last of what it needs was done
+        self.level = level  # above all that it needs
+
+
+class Needs:
+    def __init__(self) -> None:
+        self.waiting: dict[str, _Waiting] = {}
+        self.after: dict[str, dict[str, None]] = {}  # job: the waiting jobs that need it
+        self.carried: dict[str, Carried] = {}  # job that is needed: by all that need it, here or in other parts
+        self.told: dict[str, dict[str, Carried]] = {}  # the same by other parts' owners' word: job, then part
+        self.fresh: dict[str, None] = {}  # needed, and nobody has looked yet how it stands
+        self.changed: set[str] = set()  # jobs whose share is another than when this was last emptied
+
+    def add(self, job: str, needs: Iterable[str], own: Carried, takes: float, since: float) -> None:
+        needs = tuple(needs)
+        level = 1 + max((self.waiting[need].level for need in needs if need in self.waiting), default=0)
+        self.waiting[job] = _Waiting(needs, own, takes, since, level)
+        for need in needs:
+            if need not in self.after:
+                self.after[need] = {}
+                self.fresh[need] = None
+            self.after[need][job] = None
+        self._carry(needs)
+
+    def done(self, need: str, at: float | None) -> list[tuple[str, float]]:
+        """The jobs that may start now, and since when."""
+        out = []
+        for job in self.after.pop(need, ()):
+            waiting = self.waiting[job]
+            waiting.open.discard(need)
+            if at is not None:
+                waiting.since = max(waiting.since, at)
+            if not waiting.open:
+                out.append((job, waiting.since))
+                del self.waiting[job]
+        self._forget(need)
+        return out
+
+    def cancelled(self, need: str) -> list[str]:
+        """All that can never run now, directly or through others."""
+        out: list[str] = []
+        left = [need]
+        while left:
+            gone = left.pop()
+            for job in list(self.after.get(gone, ())):
+                if job in self.waiting:
+                    self.drop(job)
+                    out.append(job)
+                    left.append(job)
+            self.after.pop(gone, None)
+            self._forget(gone)
+        return out
+
+    def drop(self, job: str) -> None:
+        """It waits no more, for whatever reason. What it needed owes it nothing."""
+        waiting = self.waiting.pop(job, None)
+        if waiting is None:
+            return
+        for need in waiting.open:
+            rest = self.after.get(need)
+            if rest is not None:
+                rest.pop(job, None)
+                if not rest:
+                    del self.after[need]
+                    self.fresh.pop(need, None)
+        self._carry(waiting.open)
+
+    def _forget(self, job: str) -> None:
+        self.carried.pop(job, None)
+        self.told.pop(job, None)
+        self.fresh.pop(job, None)
+
+    def hear(self, part: str, rows: Iterable[tuple[str, int, float]]) -> None:
+        """What another part's jobs make of ours. Its owner says it anew with each beat."""
+        says = {job: Carried(priority, by) for job, priority, by in rows}
+        changed = [job for job, said in self.told.items() if part in said and says.get(job) != said[part]]
+        for job in changed:
+            del self.told[job][part]
+            if not self.told[job]:
+                del self.told[job]
+        for job, value in says.items():
+            if self.told.get(job, {}).get(part) != value:
+                self.told.setdefault(job, {})[part] = value
+                changed.append(job)
+        if changed:
+            self._carry(changed)
+
+    def abroad(self, ours: Iterable[str]) -> list[tuple[str, int, float]]:
+        """What to tell of jobs that are not of this part."""
+        here = set(ours)
+        return [(job, *self.carried[job]) for job in self.after if job not in here and job in self.carried]
+
+    def of(self, job: str) -> Carried:
+        return self.carried.get(job, NOTHING)
+
+    def _carry(self, jobs: Iterable[str]) -> None:
+        """Carry back from what needs these jobs, and on from each whose share changed. The highest level first: all that
+        needs a job has been looked at before it is, so each edge is looked at once."""
+        heap = [(-self._level(job), job) for job in set(jobs)]
+        heapq.heapify(heap)
+        while heap:
+            _, job = heapq.heappop(heap)
+            value = NOTHING
+            for said in self.told.get(job, {}).values():
+                value = value.with_(said)
+            for after in self.after.get(job, ()):
+                waiting = self.waiting[after]
+                priority, finish_by = waiting.own.with_(self.of(after))
+                value = value.with_(Carried(priority, finish_by - waiting.takes))
+            if value == self.of(job):
+                continue
+            self.changed.add(job)
+            if value == NOTHING:
+                self.carried.pop(job, None)
+            else:
+                self.carried[job] = value
+            if job in self.waiting:
+                for need in self.waiting[job].open:
+                    heapq.heappush(heap, (-self._level(need), need))
+
+    def _level(self, job: str) -> int:
+        waiting = self.waiting.get(job)
+        return waiting.level if waiting else 0
--- a/ashdock/core/park.py
+++ b/ashdock/core/park.py
@@ -80,6 +80,12 @@
             self.dirty = True
         return out
 
+    def fit(self, value_bytes: int) -> None:
+        """The state service takes smaller values from here on: what is written now spills over more of them."""
+        if value_bytes != self.value_bytes:
+            self.value_bytes = value_bytes
+            self.dirty = True
+
     def drop(self, job: str) -> None:
         kept = [park for park in self.items if park.job != job]
         self.dirty = self.dirty or len(kept) != len(self.items)
@@ -100,10 +106,12 @@
         return out
 
     def writes(self) -> list[tuple[int, list[Any] | None]]:
-        """The values that differ from what is written; None deletes."""
+        """The values that differ from what is written; None deletes. Where they come to be more, the last go first: should
+        they not fit into one transaction, what has moved on stands twice for a moment, and not nowhere."""
         values = self.values() if self.items else []
         out: list[tuple[int, list[Any] | None]] = []
-        for n in range(max(len(values), len(self.stamps))):
+        most = max(len(values), len(self.stamps))
+        for n in reversed(range(most)) if len(values) > sum(stamp > 0 for stamp in self.stamps) else range(most):
             stamp = self.stamps[n] if n < len(self.stamps) else 0
             if n >= len(values):
                 if stamp:
@@ -122,5 +130,7 @@
     def load(self, n: int, value: list[Any], stamp: int) -> list[Park]:
         self.wrote(n, value, stamp)
         out = [Park(job, low, high, at, Failure(*failure)) for job, low, high, at, *failure in value]
+        known = set(self.items)
+        out = [park for park in out if park not in known]  # a value was being spilled over
         self.items += out
         return out
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -18,8 +18,10 @@
 
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
-from ashdock.core.job import Job, JobPhase, chunk_size
+from ashdock.core.bounds import Bounds
+from ashdock.core.job import Chunk, Job, JobPhase, chunk_size, fitting, spec_of_record
 from ashdock.core.machine import Machine, MachinePhase, capacity
+from ashdock.core.needs import Carried, Needs
 from ashdock.core.quota import Usage, guaranteed
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.core.worth import Worth
@@ -141,7 +143,7 @@
 class Part:
     def __init__(
         self, team: Team, stamp: int, shared: Shared, operators: Operators, catalog: dict[str, MachineType],
-        rng: random.Random,
+        rng: random.Random, bounds: Bounds | None = None,
     ) -> None:  # fmt: skip
         self.team = team
         self.name = team.name
@@ -155,8 +157,11 @@
         self.machines: dict[str, Machine] = {}
         self.usage = Usage(team)
         self.worth = Worth(team, shared, catalog)
-        self.parks = parking.Parks(team.name, int(shared.state.value_kb * 1024 * 0.9))
-        self.chunk_tasks = chunk_size(shared.state.value_kb)
+        self.bounds = bounds or Bounds(shared.state)
+        self.parks = parking.Parks(team.name, self.bounds.value_bytes)
+        self.chunk_tasks = chunk_size(shared.state.value_kb)  # as the versions before had it, whatever the limits come to be
+        self.needs = Needs()
+        self.unread: dict[str, None] = {}  # jobs that ours wait for, of which it is not known yet how they stand
         self.strange: dict[str, set[str]] = {}  # job: machines where it runs without a placement
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
         self.wants: list[Want] = []
@@ -175,6 +180,7 @@
         self.unheard_s: float | None = None  # how long those that do not report are waited for, once that is known
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
+        self.clock = -math.inf  # when somebody last told us the time
         self.aims: dict[str, list[float]] = {}  # by class: within what times its jobs are to start
         self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
         self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
@@ -186,25 +192,25 @@
         parks: Iterable[tuple[str, Any, int]], now: float,
     ) -> None:  # fmt: skip
         """Rebuild the picture from the state service, then re-arm the parks."""
+        self.clock = now
         for name, value, stamp in machines:
             self.add_machine(name, value, stamp, now)
-        chunks: dict[str, list[tuple[int, Any, int]]] = {}
+        chunks: dict[str, list[tuple[str, Any, int]]] = {}
         heads: dict[str, tuple[Any, int]] = {}
         for path, value, stamp in work:
             _, _, job_id, tail = path.split("/", 3)
             if tail == "job":
                 heads[job_id] = (value, stamp)
             else:
-                chunks.setdefault(job_id, []).append((int(tail), value, stamp))
+                chunks.setdefault(job_id, []).append((tail, value, stamp))
         for job_id, (value, stamp) in heads.items():
-            job = self.add_job(value, stamp)
+            job = self.add_job(value, stamp, started=job_id in chunks)
             if job_id in chunks:
                 job.started_at = now  # or so: an earlier owner saw it start
-            for n, chunk, chunk_stamp in chunks.pop(job_id, []):
-                for placement in job.load_chunk(n, chunk, chunk_stamp, now):
-                    self._count(job, placement, now)
+            for placement in job.load_chunks(chunks.pop(job_id, []), now):
+                self._count(job, placement, now)
         for job_id, rest in chunks.items():
-            self.leftover += [(f"work/{self.name}/{job_id}/{n}", stamp) for n, _, stamp in rest]
+            self.leftover += [(f"work/{self.name}/{job_id}/{tail}", stamp) for tail, _, stamp in rest]
         for path, value, stamp in parks:
             for park in self.parks.load(int(path.rsplit("/", 1)[1]), value, stamp):
                 parked = self.jobs.get(park.job)
@@ -218,9 +224,11 @@
         self.taken = sum(machine.inherited for machine in self.machines.values())
         self.taken_at = now
         for job in self.jobs.values():
-            for chunk_ in job.chunks.values():
-                chunk_.durable = chunk_.gen
+            for chunk in job.chunks.values():
+                if chunk.stamp or not job.wider:  # what a wider one still holds is to be written
+                    chunk.durable = chunk.gen
             self._after_load(job, now)
+        self.look_at_needs(now)
 
     def _after_load(self, job: Job, now: float) -> None:
         if not job.active:
@@ -230,30 +238,91 @@
             # Gang tasks complete together, so one that is done proves them all.
             for task in range(job.spec.tasks):
                 self._finish(job, task, now)
-        elif job.spec.kind == "gang" and job.live and len(job.live) < job.spec.tasks:
-            self._break(job, "incomplete", now)
+        elif job.spec.kind == "gang" and job.live:
+            # Its chunks may have been written one after the other: some of them hold this attempt, some the one before.
+            if len(job.live) < job.spec.tasks or len({placement.attempt for placement in job.live.values()}) > 1:
+                self._break(job, "incomplete", now)
         if job.complete and job.active:
-            job.over()
+            self._over(job, now)
         # Placements on machines that are no longer recorded: their machine is proved gone.
         for placement in list(job.live.values()):
             if placement.machine not in self.machines:
                 self._lost(placement, "machine gone", now)
 
-    def add_job(self, record: dict[str, Any], stamp: int) -> Job:
-        spec = msgspec.convert(record["spec"], Spec)
+    def add_job(self, record: dict[str, Any], stamp: int, started: bool = False) -> Job:
+        """`started`: tasks of it have been placed before, so all that it needs is known to be done."""
+        spec = spec_of_record(record)
         known = self.jobs.get(spec.id)
         if known:
             return known
-        job = Job(spec, record["at"], stamp, self.chunk_tasks)
+        width = min(self.chunk_tasks, self.bounds.width) if self.bounds.agreed else self.chunk_tasks
+        job = Job(spec, record["at"], stamp, width, self.chunk_tasks)
         job.listener = self.touched
         self.stale = True
         job.reason = record.get("reason")
+        self.jobs[spec.id] = job
         if record["status"] == "withdrawn":
             self.ending[spec.id] = job
             job.cancel(record.get("cancelled_at", record["at"]))
-        self.jobs[spec.id] = job
+        elif spec.needs and not started:
+            job.waits = True
+            own = Carried(spec.priority, job.due)
+            self.needs.add(spec.id, spec.needs, own, self._takes(spec), job.submitted)
+            self._carry()
+        job.carried = self.needs.of(spec.id)
         return job
 
+    # -- what jobs wait for ---------------------------------------------------------------------
+
+    def _takes(self, spec: Spec) -> float:
+        """How long from when it may start until it is done, where it finds room at once."""
+        fetch = max((placing.image_s(spec, shape) for shape in self.catalog.values()), default=0.0)
+        return fetch + self.run_s(spec) + 2 * self.workers.report_s
+
+    def look_at_needs(self, now: float) -> None:
+        """How the jobs stand that ours have come to wait for: what is not of this part has to be read."""
+        while self.needs.fresh:
+            need, _ = self.needs.fresh.popitem()
+            job = self.jobs.get(need)
+            if job is None:
+                self.unread[need] = None
+            elif job.phase is JobPhase.CANCELLED:
+                self.settled(need, "withdrawn", None, now)
+
+    def settled(self, need: str, status: str, at: float | None, now: float) -> None:
+        """A job that ours may wait for is durably over: they may start, or never will."""
+        self.unread.pop(need, None)
+        if need not in self.needs.after:
+            return
+        if status == "done":
+            for job_id, since in self.needs.done(need, at):
+                job = self.jobs[job_id]
+                job.released(since)
+                self.stale = True
+                log.info("job %s may start: the last that it needs is done (%s)", job_id, need)
+                self.came(job, now)
+        else:
+            for job_id in self.needs.cancelled(need):
+                log.info("job %s is cancelled with %s, which it needs", job_id, need)
+                self.jobs[job_id].orphan(need, now)
+        self._carry()
+
+    def hear_needs(self, part: str, rows: Iterable[tuple[str, int, float]]) -> None:
+        self.needs.hear(part, rows)
+        self._carry()
+
+    def _carry(self) -> None:
+        for job_id in self.needs.changed:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.carried = self.needs.of(job_id)
+        if self.needs.changed:
+            self.stale = True
+            self.needs.changed.clear()
+
+    def _over(self, job: Job, now: float) -> None:
+        job.over(now if self.bounds.agreed else None)
+
     def add_machine(self, name: str, value: dict[str, Any], stamp: int, now: float) -> None:
         shape = self.catalog.get(value["t"])
         self.seen = max(self.seen, stamp)
@@ -312,7 +381,7 @@
             job.finish(task)
         job.changed()
         if job.complete and job.active:
-            job.over()
+            self._over(job, now)
 
     def _stop(self, placement: Placement, why: str, leeway: float, now: float) -> None:
         if placement.never_sent:
@@ -496,9 +565,9 @@
         job = self.jobs[placement.job]
         if job.started_at is None:
             job.started_at = now
-            waited = placement.placed_at - job.submitted
-            log.info("job %s (%s) runs %.1f s after it was accepted: %.1f s for room, %.1f s on the way",
-                     job.id, job.spec.job_class, now - job.submitted, waited, now - placement.placed_at)  # fmt: skip
+            waited = placement.placed_at - job.since
+            log.info("job %s (%s) runs %.1f s after it %s: %.1f s for room, %.1f s on the way", job.id, job.spec.job_class, now - job.since,
+                     "could start" if job.spec.needs else "was accepted", waited, now - placement.placed_at)  # fmt: skip
 
     def _absent(self, placement: Placement, report: Report) -> bool:
         """Whether a report under our token that lacks the task proves that it is not, and will not be, there."""
@@ -650,6 +719,10 @@
         job.cancel(at)
         job.stamp = max(job.stamp, stamp)
         job.breaking = None
+        job.waits = False
+        self.needs.drop(job_id)
+        self.settled(job_id, "withdrawn", None, now)
+        self._carry()
         if not job.done:
             self._exonerate(job)  # most that fail until they are cancelled were submitted with a mistake
         self.ending[job_id] = job
@@ -672,6 +745,8 @@
     # -- time -----------------------------------------------------------------------------------
 
     def tick(self, now: float) -> None:
+        self.clock = now
+        self.look_at_needs(now)
         for park in self.parks.due(now):
             job = self.jobs.get(park.job)
             if job:
@@ -751,7 +826,7 @@
         out = [
             job
             for job in self.jobs.values()
-            if job.active and job.ready and not job.breaking and job.id not in self.strange
+            if job.active and job.ready and not job.waits and not job.breaking and job.id not in self.strange
             and (job.spec.kind != "gang" or job.ready == job.spec.tasks)
         ]  # fmt: skip
         out.sort(key=lambda job: self._rank(job, now, look))
@@ -760,9 +835,8 @@
     def slack(self, job: Job, now: float) -> float:
         """Seconds until the job had better be running."""
         spec = job.spec
-        if spec.deadline_s is not None:
-            return job.submitted + spec.deadline_s - self.run_s(spec) - now
-        return job.submitted + self.aim_s(spec) - now
+        in_time = job.due - self.run_s(spec) - now
+        return in_time if spec.deadline_s is not None else min(in_time, job.since + self.aim_s(spec) - now)
 
     def aim_s(self, spec: Spec) -> float:
         aims = [o.within_s for o in self.shared.objectives if o.kind == "wait" and o.job_class == spec.job_class]
@@ -776,21 +850,22 @@
         free goes ahead of what has waited a few fetches longer: where machines are short, fetching wastes them."""
         spec = job.spec
         if job.doubtful:
-            return (-spec.priority, 9.0, job.submitted)
-        if spec.kind == "array" and spec.deadline_s is None:
-            return (-spec.priority, *self.worth.rank(job, self.run_s(spec), now), job.submitted)
-        if spec.deadline_s is None:
+            return (-job.priority, 9.0, job.since)
+        if spec.kind == "array" and math.isinf(job.due):
+            return (-job.priority, *self.worth.rank(job, self.run_s(spec), now), job.since)
+        if math.isinf(job.due):
             ahead = 0.0
             if look is not None and look.holders(spec, spec.tasks if spec.kind == "gang" else 1):
                 ahead = FETCHES_AHEAD * placing.image_s(spec, next(iter(self.catalog.values())))
             turn, size = self._turn(job, now)
-            return (-spec.priority, turn, size, job.submitted - now - ahead)
+            return (-job.priority, turn, size, job.since - now - ahead)
+        deadline_s = max(job.due - job.submitted, 1e-3)
         late = now + self.run_s(spec) * (1 - self.grace) - job.submitted
         times = sorted(o.times for o in self.shared.objectives if o.kind == "deadline" and o.job_class == spec.job_class and o.times)
-        rank = float(sum(1 for factor in times or [1.0] if late > spec.deadline_s * factor))
-        if late > spec.deadline_s * 4:
+        rank = float(sum(1 for factor in times or [1.0] if late > deadline_s * factor))
+        if late > deadline_s * 4:
             rank = 0.0
-        return (-spec.priority, rank, (spec.tasks - job.done) * self.run_s(spec) * max(spec.gpus, 1.0))
+        return (-job.priority, rank, (spec.tasks - job.done) * self.run_s(spec) * max(spec.gpus, 1.0))
 
     def _turn(self, job: Job, now: float) -> tuple[float, float]:
         """When not all can start in time, the most do if the small go first while they are in time for the first
@@ -798,7 +873,7 @@
         aims = self._wait_aims(job.spec.job_class)
         if not aims:
             return 0.0, 0.0
-        first, last, age = aims[0], aims[-1], now - job.submitted
+        first, last, age = aims[0], aims[-1], now - job.since
         if last * 0.6 < age <= last or age > 3 * last:
             return 0.0, 0.0
         if age <= first:
@@ -834,14 +909,14 @@
                 missing -= job.cleared  # room is being made already
             if missing > 0:
                 short.append((job, missing, zone))
-        lowest = min((self.jobs[p.job].spec.priority for p in self._some_live()), default=0)
+        lowest = min((self.jobs[p.job].priority for p in self._some_live()), default=0)
         lower: dict[int, list[tuple[Machine, list[Placement]]]] = {}
         for job, missing, zone in short:
             # Nothing of lower priority runs, mostly: then there is nothing to look at.
-            if job.spec.priority > lowest and now - job.preempted_at >= self.workers.lease_s:
-                if job.spec.priority not in lower:
-                    lower[job.spec.priority] = self._lower_work(job.spec.priority)
-                self._make_room(job, missing, zone, lower[job.spec.priority], now)
+            if job.priority > lowest and now - job.preempted_at >= self.workers.lease_s:
+                if job.priority not in lower:
+                    lower[job.priority] = self._lower_work(job.priority)
+                self._make_room(job, missing, zone, lower[job.priority], now)
         self.wants = self._net_wants(short, look, now)
 
     def _some_live(self) -> Iterable[Placement]:
@@ -886,7 +961,7 @@
         for machine in self.machines.values():
             if not machine.usable or not machine.live or machine.name in self.reserved:
                 continue
-            lower = [p for p in machine.live.values() if self.jobs[p.job].spec.priority < priority]
+            lower = [p for p in machine.live.values() if self.jobs[p.job].priority < priority]
             if lower and not any(p.phase is Phase.STOPPING for p in machine.live.values()):
                 out.append((machine, lower))
         return out
@@ -919,7 +994,7 @@
             log.info("job %s takes the place of lower work on %s", job.id, machine.name)
             for placement in list(machine.live.values()):
                 other = self.jobs.get(placement.job)
-                if other and other.spec.priority < spec.priority and machine.live.get(placement.key) is placement:
+                if other and other.priority < job.priority and machine.live.get(placement.key) is placement:
                     self.preempt(other, [placement.task], f"made room for {job.id}", now)
 
     def _loss(self, placement: Placement, now: float) -> float:
@@ -985,16 +1060,16 @@
                 out.append(
                     Want(
                         spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
-                        spec.one_zone and spec.tasks > 1, missing, spec.priority, guaranteed(self.team, cpus, gpus),
+                        spec.one_zone and spec.tasks > 1, missing, job.priority, guaranteed(self.team, cpus, gpus),
                         self.slack(job, now), spec.image, spec.tasks if spec.one_zone and not spec.zone and zone else 0,
-                        not self.worth.promised(spec),
+                        math.isinf(job.due) and not self.worth.promised(spec),
                     )
                 )  # fmt: skip
         return out
 
     def came(self, job: Job, now: float) -> None:
         """A new job, and not one read at a takeover: what has come of late tells what is to be expected."""
-        if job.spec.deadline_s is None and job.spec.kind != "service":
+        if job.spec.deadline_s is None and job.spec.kind != "service" and not job.waits:
             per = max((capacity(shape, job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for shape in self.catalog.values()), default=1)
             self.arrived.append((now, -(-job.spec.tasks // max(per, 1)), job.spec))
             self._lately(now)  # here too: where no machine ever stands empty, nobody else looks
@@ -1036,11 +1111,11 @@
         kept = self._at_hand(empty, now)
         idle = [(m.name, now - (m.idle_since or now)) for m in empty if m.name not in kept]
         busy = [
-            Busy(m.name, max(self.jobs[p.job].spec.priority for p in m.live.values()), self._machine_loss(m, now))
+            Busy(m.name, max(self.jobs[p.job].priority for p in m.live.values()), self._machine_loss(m, now))
             for m in self.machines.values()
             if m.live and m.usable and m.name not in self.reserved
         ]  # fmt: skip
-        waiting = sum(job.ready for job in self.jobs.values() if job.active)
+        waiting = sum(job.ready for job in self.jobs.values() if job.active and not job.waits)
         return Picture(self.name, self.looked, self.wants, idle, busy, len(self.machines), waiting, self._beyond(busy))
 
     def _beyond(self, busy: list[Busy]) -> int:
@@ -1104,7 +1179,8 @@
     def next_txn(self) -> Txn | None:
         """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for."""
         # No more at a time than our share of a second: what comes after must not wait longer than that.
-        txn = Txn(max(4, min(self.shared.state.txn_ops, int(self.shared.state.write_rps / self.shared.size))))
+        txn = Txn(max(4, min(self.bounds.ops, int(self.bounds.write_rps / self.shared.size))))
+        self.parks.fit(self.bounds.value_bytes)
         later: list[Job] = []
         for job in list(self.touched.values()):
             if job.id not in self.jobs or not self._unwritten(job):
@@ -1116,7 +1192,7 @@
             else:
                 later.append(job)
         for n, value in self.parks.writes() if self.parks.dirty else ():
-            size = int(self.shared.state.value_kb * 1024)
+            size = self.bounds.value_bytes
             if txn.room(1, size):
                 stamp = self.parks.stamps[n] if n < len(self.parks.stamps) else 0
                 txn.put(self.parks.path(n), value, stamp)
@@ -1150,58 +1226,80 @@
         """An array of short tasks beyond any guarantee, still under way: others' writes go before its many."""
         spec = job.spec
         return (
-            job.active and spec.kind == "array" and spec.deadline_s is None and spec.tasks > self.chunk_tasks
+            job.active and spec.kind == "array" and math.isinf(job.due) and spec.tasks > self.chunk_tasks
             and not guaranteed(self.team, spec.cpus, spec.gpus)
         )  # fmt: skip
 
     @staticmethod
     def _unwritten(job: Job) -> bool:
-        if job.phase is JobPhase.OVER or (job.phase is JobPhase.CANCELLED and not job.live):
+        if job.settled or job.wider:
             return True
         return job.reason_gen > job.reason_durable or any(chunk.gen > chunk.durable for chunk in job.chunks.values())
 
     def _write_job(self, job: Job, txn: Txn) -> bool:
         """Whether it found room in the transaction."""
-        if job.phase is JobPhase.OVER or (job.phase is JobPhase.CANCELLED and not job.live):
+        if job.settled:
             return self._write_outcome(job, txn)
-        dirty = [chunk for chunk in job.chunks.values() if chunk.gen > chunk.durable]
+        dirty = self._dirty(job)
         if job.spec.kind == "gang" and dirty:
-            # A gang is placed whole or not at all, so its chunks go together.
-            if not txn.room(len(dirty), sum(self._chunk_bytes(job, chunk.n) for chunk in dirty)):
+            # A gang is placed whole or not at all, so its chunks go together. Where one transaction does not take them all
+            # they go one after the other, and no start before the last; a takeover in between takes the attempt down.
+            size = sum(len(value) + 120 for _, value in dirty)
+            if (len(dirty) <= txn.ops or not self.bounds.agreed) and not txn.room(len(dirty), size):
                 return False
-        for chunk in dirty:
-            value = job.chunk_value(chunk.n)
-            size = len(msgspec.json.encode(value)) + 120
-            if job.spec.kind != "gang" and not txn.room(1, size):
+        for chunk, value in dirty:
+            size = len(value) + 120
+            if (job.spec.kind != "gang" or self.bounds.agreed) and not txn.room(1, size):
                 return False
-            txn.put(job.path(chunk.n), value, chunk.stamp)
+            txn.put(job.path(chunk.n), msgspec.Raw(value), chunk.stamp)
             txn.when[job.job_path] = job.stamp
             txn.bytes += size
-            txn.marks.append(lambda revision, n=chunk.n, gen=chunk.gen: self._chunk_durable(job, n, gen, revision))  # type: ignore[misc]
+            txn.marks.append(lambda revision, c=chunk, gen=chunk.gen: self._chunk_durable(job, c, gen, revision))  # type: ignore[misc]
+        for tail, wide in list(job.wider.items()):
+            # What narrower chunks have taken over. All of them are durable, or become so with this.
+            if all(chunk.gen <= chunk.durable or job.path(chunk.n) in txn.writes for chunk in job.pieces(wide.low, wide.high)):
+                if not txn.room(1, 100):
+                    return False
+                txn.put(job.work_path(tail), None, wide.stamp)
+                txn.bytes += 100
+                txn.marks.append(lambda revision, tail=tail: job.chunk_wrote(tail, 0))  # type: ignore[misc]
         if job.reason_gen > job.reason_durable and job.active:
-            if not txn.room(2, 4096):
+            record = job.record()
+            size = 2 * len(msgspec.json.encode(record))
+            if size > 2 * self.bounds.value_bytes:
+                job.reason_durable = job.reason_gen  # too large as it was submitted: told by its owner's log alone
+                return True
+            if not txn.room(2, size):
                 return False
-            txn.put(job.job_path, job.record(), job.stamp)
-            txn.put(job.head_path, job.record(), job.stamp)
-            txn.bytes += 4096
+            txn.put(job.job_path, record, job.stamp)
+            txn.put(job.head_path, record, job.stamp)
+            txn.bytes += size
             txn.marks.append(lambda revision, gen=job.reason_gen: self._reason_durable(job, gen, revision))  # type: ignore[misc]
         return True
 
-    @staticmethod
-    def _chunk_bytes(job: Job, n: int) -> int:
-        return len(msgspec.json.encode(job.chunk_value(n))) + 120
+    def _dirty(self, job: Job) -> list[tuple[Chunk, bytes]]:
+        """Its chunks to be written, narrowed until each fits a value."""
+        while True:
+            dirty = [(chunk, msgspec.json.encode(job.chunk_value(chunk.n))) for chunk in job.chunks.values() if chunk.gen > chunk.durable]
+            largest = max((len(value) for _, value in dirty), default=0)
+            if largest <= self.bounds.value_bytes or job.chunk_tasks == 1 or not self.bounds.agreed:
+                return dirty
+            job.narrow(max(1, min(job.chunk_tasks * self.bounds.value_bytes // largest, job.chunk_tasks * 3 // 4)))
+            log.info("job %s: a chunk of %d bytes is too large; from here on %d tasks to a chunk", job.id, largest, job.chunk_tasks)
 
     def _write_outcome(self, job: Job, txn: Txn) -> bool:
-        chunks = [chunk for chunk in job.chunks.values() if chunk.stamp]
+        chunks = [(job.path(chunk.n), chunk.stamp) for chunk in job.chunks.values() if chunk.stamp]
+        chunks += [(job.work_path(tail), wide.stamp) for tail, wide in job.wider.items()]
         together, later = chunks[: txn.ops - 4], chunks[txn.ops - 4 :]
-        size = 100 * (len(together) + 2) + len(msgspec.json.encode(job.record()))
+        record = fitting(job.record(), self.bounds.value_bytes)
+        size = 100 * (len(together) + 2) + len(msgspec.json.encode(record))
         if not txn.room(len(together) + 2, size):
             return False
-        if job.phase is JobPhase.OVER:
-            txn.put(job.job_path, job.record(), job.stamp)
+        if job.phase is not JobPhase.CANCELLED:
+            txn.put(job.job_path, record, job.stamp)
         txn.put(job.head_path, None, job.stamp)
-        for chunk in together:
-            txn.put(job.path(chunk.n), None, chunk.stamp)
+        for path, stamp in together:
+            txn.put(path, None, stamp)
         txn.bytes += size
         txn.marks.append(lambda revision: self._outcome_durable(job, later))
         return True
@@ -1212,7 +1310,7 @@
         if not (moves or bump or machine.doom_gen) or not txn.room(1, 300):
             return
         to = machine.to if moves and machine.to is not None else self.name
-        txn.put(f"machine/{machine.name}", machine.value(to), machine.stamp)
+        txn.put(f"machine/{machine.name}", machine.value(to, self.bounds.value_bytes), machine.stamp)
         txn.bytes += 300
         txn.marks.append(lambda revision: self._machine_written(machine, to, revision))
 
@@ -1224,12 +1322,14 @@
             log.info("machine %s goes to %s", machine.name, to or "the pool")
             self.machines.pop(machine.name, None)
 
-    def _chunk_durable(self, job: Job, n: int, gen: int, revision: int) -> None:
-        chunk = job.chunk(n)
+    def _chunk_durable(self, job: Job, chunk: Chunk, gen: int, revision: int) -> None:
         chunk.stamp = revision
         chunk.durable = max(chunk.durable, gen)
-        for placement in chunk.live.values():
-            if placement.phase is Phase.INTENDED and placement.gen <= gen:
+        together = job.spec.kind == "gang"
+        if together and any(other.placed > other.durable for other in job.chunks.values()):
+            return  # no start of a gang before its last chunk is durable
+        for placement in (job if together else chunk).live.values():
+            if placement.phase is Phase.INTENDED and placement.gen <= job.chunk_of(placement.task).durable:
                 placement.committed()
                 self.urgent[placement.machine] = None
 
@@ -1238,14 +1338,16 @@
         job.stamp = revision
 
     def _outcome_durable(self, job: Job, later: list[Any]) -> None:
-        self.leftover += [(job.path(chunk.n), chunk.stamp) for chunk in later]
-        if job.phase is JobPhase.OVER:
+        self.leftover += later
+        done = job.phase is JobPhase.OVER
+        if done:
             log.info("job %s is done", job.id)
         job.phase = JobPhase.FINAL
         for placement in list(job.live.values()):
             self._drop(placement, placement.placed_at)
         self.parks.drop(job.id)
         self.jobs.pop(job.id, None)
+        self.settled(job.id, "done" if done else "withdrawn", job.ended_at, self.clock)
 
     def reread(self, path: str, value: Any, stamp: int, now: float) -> None:
         """A condition of ours failed though the part is still ours: take in what the key holds now.
@@ -1269,7 +1371,7 @@
             if job is None:
                 return
             if tail != "job":
-                job.chunk(int(tail)).stamp = stamp
+                job.chunk_wrote(tail, stamp)
             elif value is None and job.phase is JobPhase.CANCELLED:
                 self._outcome_durable(job, [])
         elif kind == "park":
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -7,9 +7,9 @@
 import re
 import time
 from collections import OrderedDict
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-from ashdock.core.job import job_record
+from ashdock.core.job import fitting, job_record, spec_of_record
 from ashdock.core.machine import capacity
 from ashdock.core.quota import can_ever
 from ashdock.net.budget import Turn
@@ -28,6 +28,18 @@
 PATIENCE_S = 0.5  # a submission that would wait longer for its turn to be written is sent away instead
 ANSWER_S = 1.5  # a status is given up after this: its user waits 2 s
 FINALS = 20_000  # final answers kept at hand; the rest are read again
+RECORD_GROWS = 300  # bytes by which a record may come to be longer: a reason, and when it ended
+NEEDS_AT_ONCE = 8  # reads of what a submission names
+NEEDS_NAMED = 10  # of what a job waits for, to who asks
+
+
+class Final(NamedTuple):
+    """A job that is over."""
+
+    status: str
+    tasks: int
+    reason: str | None
+    done_at: float | None  # if that was noted
 
 
 def error(status: int, why: str, retry_after: int | None = None) -> Answer:
@@ -37,8 +49,9 @@
 class Front:
     def __init__(self, controller: Controller) -> None:
         self.controller = controller
-        self.finals: OrderedDict[str, tuple[str, int, str | None]] = OrderedDict()
+        self.finals: OrderedDict[str, Final] = OrderedDict()
         self.reads: dict[str, asyncio.Future[Entry | None]] = {}
+        self.looking: set[str] = set()  # jobs that others need, being looked up to tell who asks
         self.questions = Questions(controller.state, ANSWER_S, self.saw)
         self.redirected: dict[str, tuple[float, str]] = {}  # worker: when we last sent it to its owner, and which
         self.relaying: dict[str, float] = {}  # worker: relayed for since
@@ -83,16 +96,26 @@
         if behind > PATIENCE_S:
             # More than the state service lets us write: said at once, since the user would only wait here for nothing.
             return error(429, "too many submissions at once", 1 + int(behind))
-        never = self.never(spec)
-        if never:
-            # A job that was accepted is never refused afterwards, whatever its later copies say.
-            try:
-                entry = await self._read(spec.id)
-            except Unavailable:
-                return error(503, "the state service does not answer", self._retry_after())
-            return Answer(200, self._state(spec.id, entry)) if entry else error(422, never)
         now = controller.now()
         record = job_record(spec, round(now, 3))
+        refusal: Answer | None = None
+        never = self.never(spec)
+        if never:
+            refusal = error(422, never)
+        elif len(messages.encode(record)) + RECORD_GROWS > controller.bounds.value_bytes:
+            refusal = error(422, "the job names more machine types, or jobs that it needs, than can be stored")
+        elif spec.needs and not controller.bounds.agreed:
+            # A controller of the version before may own the part, now or soon, and would start the job at once.
+            refusal = error(503, "jobs that need others are taken once every controller has the new version", 1)
+        try:
+            if refusal is None and spec.needs:
+                refusal = await self._bounded(self._needs_refused(spec))
+            if refusal is not None:
+                # A job that was accepted is never refused afterwards, whatever its later copies say.
+                entry = await self._bounded(self._read(spec.id))
+                return Answer(200, self._state(spec.id, entry)) if entry else refusal
+        except Unavailable:
+            return error(503, "the state service does not answer", self._retry_after())
         path = f"job/{spec.id}"
         writes = {path: record, f"work/{spec.team}/{spec.id}/job": record}
         try:
@@ -111,6 +134,31 @@
         controller.jobs_seen(path, record, stamp)
         return Answer(201, messages.encode({"id": spec.id, "status": "queued"}))
 
+    async def _needs_refused(self, spec: Spec) -> Answer | None:
+        """Why a job cannot wait for what it names, if so. That a job exists may be remembered, that it does not may not."""
+        gate = asyncio.Semaphore(NEEDS_AT_ONCE)
+
+        async def why(need: str) -> str | None:
+            final = self.finals.get(need)
+            if final is not None:
+                return None
+            known = self.questions.known.get(need)
+            if known is None or known.kind == "service":  # one that is withdrawn may be named
+                async with gate:
+                    entry = await self._read(need) if need != spec.id else None
+                if entry is None:
+                    return f"{need} was never accepted"
+                self.saw(need, entry.value, entry.stamp)
+                if entry.value["status"] != "queued":
+                    return None
+                known = known_of(entry.value, entry.stamp)
+            return f"{need} is a service and is never done" if known.kind == "service" else None
+
+        for reason in await asyncio.gather(*(why(need) for need in spec.needs or ())):
+            if reason is not None:
+                return error(422, reason)
+        return None
+
     def never(self, spec: Spec) -> str | None:
         """Why the job can never run, if so."""
         controller = self.controller
@@ -169,8 +217,9 @@
                     self.saw(job_id, entry.value, entry.stamp)
                     continue
                 record = {**entry.value, "status": "withdrawn", "cancelled_at": round(controller.now(), 3)}
+                record = fitting(record, controller.bounds.value_bytes)
                 path = entry.path
-                head = f"work/{record['spec']['team']}/{job_id}/job"
+                head = f"work/{spec_of_record(record).team}/{job_id}/job"
                 # Durable first. Every start names the job's stamp, so none can be committed after this.
                 stamp = await self._bounded(controller.state.txn({path: entry.stamp}, {path: record, head: record}, turn=Turn.USER))
                 log.info("job %s withdrawn", job_id)
@@ -218,16 +267,25 @@
         if value["status"] in ("done", "withdrawn"):
             spec = value["spec"]
             tasks = spec["tasks"] if isinstance(spec, dict) else spec.tasks
-            self.finals[job_id] = (value["status"], tasks, value.get("reason"))
+            self.finals[job_id] = Final(value["status"], tasks, value.get("reason"), value.get("done_at"))
             if len(self.finals) > FINALS:
                 self.finals.popitem(last=False)
 
     def is_final(self, job_id: str) -> bool:
         return job_id in self.finals
 
-    def _final(self, job_id: str, final: tuple[str, int, str | None]) -> bytes:
-        status, tasks, reason = final
-        return messages.status_answer(job_id, status, tasks if status == "done" else 0, 0, reason)
+    async def outcome(self, job_id: str) -> tuple[str, float | None] | None:
+        """How a job ended and when, as far as that was noted; None if it has not."""
+        final = self.finals.get(job_id)
+        if final is None:
+            entry = await self.controller.state.get(f"job/{job_id}")
+            if entry is not None:
+                self.saw(job_id, entry.value, entry.stamp)
+            final = self.finals.get(job_id)
+        return (final.status, final.done_at) if final else None
+
+    def _final(self, job_id: str, final: Final) -> bytes:
+        return messages.status_answer(job_id, final.status, final.tasks if final.status == "done" else 0, 0, final.reason)
 
     def _state(self, job_id: str, entry: Entry) -> bytes:
         self.saw(job_id, entry.value, entry.stamp)
@@ -236,7 +294,27 @@
 
     def _unfinished(self, job_id: str, known: Known) -> bytes:
         done, running = self.controller.counts(known.team, job_id)
-        return messages.status_answer(job_id, "running" if running else "queued", done, running, known.reason)
+        reason = known.reason or (self._waits(known.needs) if not done and not running else None)
+        return messages.status_answer(job_id, "running" if running else "queued", done, running, reason)
+
+    def _waits(self, needs: tuple[str, ...]) -> str | None:
+        """What a job still waits for. What we do not remember is looked up for the next who asks."""
+        left = [need for need in needs if need not in self.finals]
+        for need in left:
+            if need not in self.questions.known and need not in self.looking and len(self.looking) < NEEDS_AT_ONCE:
+                self.looking.add(need)
+                self.controller.spawn(self._look_up(need))
+        left = [need for need in left if need in self.questions.known]
+        more = f" and {len(left) - NEEDS_NAMED} more" if len(left) > NEEDS_NAMED else ""
+        return f"waits for {', '.join(left[:NEEDS_NAMED])}{more}" if left else None
+
+    async def _look_up(self, need: str) -> None:
+        try:
+            await self.outcome(need)
+        except Unavailable:
+            pass
+        finally:
+            self.looking.discard(need)
 
     # -- workers ---------------------------------------------------------------------------------------------------------
 
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -144,9 +144,10 @@
         """Write machines' records (None deletes) that still have the stamps given, many to a transaction; those written."""
         names = list(records)
         written: list[str] = []
-        most = max(1, min(self.controller.shared.state.txn_ops, int(self.controller.state.writes.per_s / 2)))
-        for at in range(0, len(names), most):
-            written += await self._write_some({name: records[name] for name in names[at : at + most]})
+        while names:
+            most = max(1, min(self.controller.bounds.ops, int(self.controller.state.writes.per_s / 2)))
+            written += await self._write_some({name: records[name] for name in names[:most]})
+            names = names[most:]
         return written
 
     async def _write_some(self, records: dict[str, tuple[int, dict[str, Any] | None]]) -> list[str]:
@@ -291,7 +292,7 @@
         controller = self.controller
         doomed = [(e.path.split("/", 1)[1], e.stamp) for e in controller.machines.entries.values() if e.value.get("x")]
         if doomed and controller.state_fresh():
-            doomed = doomed[: min(100, controller.shared.state.txn_ops)]
+            doomed = doomed[: min(100, controller.bounds.ops)]
             await controller.cloud.release([name for name, _ in doomed])
             now = controller.now()
             self.released.update((name, now) for name, _ in doomed)
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -67,6 +67,11 @@
             return 0.0
         return max((need - self.left) / self.per_s, 0.001)
 
+    def spend(self) -> None:
+        """What was saved up is gone, by the word of whom we ask."""
+        self._refill()
+        self.left = min(self.left, 0.0)
+
     async def wait(self, amount: float = 1.0, turn: Turn = Turn.WORK) -> None:
         """In turn: a large transaction used to be overtaken for ever by small ones."""
         if not any(self.lines.values()) and self.take(amount, turn) == 0:
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Struct
 
+from ashdock.core.bounds import Bounds
 from ashdock.net.budget import Budget, Demand, Turn, shares
 from ashdock.net.http import Client, NoAnswer
 from ashdock.settings import Shared
@@ -28,6 +29,14 @@
         self.unknown = unknown
 
 
+class Limited(Unavailable):
+    """More than it takes a second."""
+
+
+class Refused(Unavailable):
+    """Not to be had as it stands: too many changes, or too large a value. What comes next will be smaller."""
+
+
 class Conflict(Exception):
     """A condition did not hold."""
 
@@ -95,20 +104,30 @@
 
 
 class StateClient:
-    def __init__(self, host: str, port: int, shared: Shared) -> None:
+    def __init__(self, host: str, port: int, shared: Shared, bounds: Bounds) -> None:
+        self.bounds = bounds
         self.client = Client(host, port, keep=12)
         self.watcher = Client(host, port, keep=8)
         self.size = shared.size
-        # Four times as many conditions as puts and deletes, as far as they fit into 64 KiB.
-        self.most_conditions = min(4 * shared.state.txn_ops, 60 * 1024 // CONDITION_BYTES)
         # A tenth is left for what is in flight while the shares are told anew.
-        self.all = Demand(shared.state.rps * 0.9, shared.state.write_rps * 0.9)
+        self.all = Demand(bounds.rps * 0.9, bounds.write_rps * 0.9)
         self.requests = Budget(self.all.requests / self.size)
         self.writes = Budget(self.all.writes / self.size)
         self.timeout = shared.workers.lease_s / 5
         self.ok_at = time.monotonic()  # when it last answered us properly
         self.bad_since: float | None = None
 
+    def keep_within(self) -> None:
+        """The bounds are other ones now."""
+        before, self.all = self.all, Demand(self.bounds.rps * 0.9, self.bounds.write_rps * 0.9)
+        self.requests.per_s *= self.all.requests / before.requests
+        self.writes.per_s *= self.all.writes / before.writes
+
+    @property
+    def most_conditions(self) -> int:
+        """Four times as many conditions as puts and deletes, as far as they fit into 64 KiB."""
+        return min(4 * self.bounds.ops, 60 * 1024 // CONDITION_BYTES)
+
     @property
     def demand(self) -> Demand:
         return Demand(self.requests.demand, self.writes.demand)
@@ -132,8 +151,9 @@
             self._bad(str(why))
             raise Unavailable(str(why), why.sent) from None
         if status in (429, 503) or status >= 500:
-            if status != 429:
-                self._bad(f"status {status}")
+            if status == 429:
+                raise Limited(f"status {status}")
+            self._bad(f"status {status}")
             raise Unavailable(f"status {status}")
         if not watch:
             self.ok_at = max(self.ok_at, started)
@@ -192,13 +212,21 @@
         body: dict[str, Any] = {"when": [{"path": path, "stamp": stamp} for path, stamp in when.items()]}
         if writes:
             body["writes"] = [self._write(path, value, hold) for path, value in writes.items()]
-        status, answer = await self._call("POST", "/txn", msgspec.json.encode(body))
+        try:
+            status, answer = await self._call("POST", "/txn", msgspec.json.encode(body))
+        except Limited:
+            # One of the limits is lower than we think, or others use more of it: what is saved up is not spent on top.
+            (self.writes if writes else self.requests).spend()
+            raise
         if status == 200:
             return int(self._decode(_ledger, answer).ledger)
         if status == 409:
             raise Conflict(self._decode(_failed, answer).failed)
         if status == 400 and b"no such lease" in answer:
             raise HoldLost
+        if status == 400:
+            self.bounds.refused(len(writes), max((len(msgspec.json.encode(value)) for value in writes.values()), default=0))
+            raise Refused(f"status {status}: {answer[:200]!r}")
         raise Unavailable(f"status {status}: {answer[:200]!r}")
 
     @staticmethod
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -42,6 +42,7 @@
         self.give_to: str | None = None  # the leader wants another controller to have the part
         self.early: list[Callable[[Part], None]] = []  # changes seen while the part was being read
         self.sends: set[asyncio.Task[None]] = set()
+        self.reading: asyncio.Task[None] | None = None  # how the jobs stand that ours wait for
         self.passed_at = -1e9  # when the last scheduling pass began
         self.pass_after = 0.0  # a pass that took long is not followed by another at once
         self.task = asyncio.create_task(self._run())
@@ -52,7 +53,7 @@
         self.phase = OwnerPhase.LOADING
         self.part = Part(
             self.team, stamp, self.controller.shared, self.controller.settings.operators, self.controller.catalog,
-            random.Random(self.controller.rng.random()),
+            random.Random(self.controller.rng.random()), self.controller.bounds,
         )  # fmt: skip
 
     def _loaded(self) -> None:
@@ -85,6 +86,10 @@
         elif self.phase is not OwnerPhase.LOST:
             self.early.append(change)
 
+    def waits_for(self, job_id: str) -> bool:
+        """Whether the outcome of a job is of any use here. While the part is being read that is not known."""
+        return self.part is None or self.phase is not OwnerPhase.ACTIVE or job_id in self.part.needs.after
+
     async def report(self, report: Report) -> Orders | None:
         if self.phase is not OwnerPhase.ACTIVE:
             try:
@@ -156,6 +161,8 @@
             return
         now = self.controller.now()
         part.tick(now)
+        if part.unread and (self.reading is None or self.reading.done()):
+            self.reading = asyncio.create_task(self._read_needs(part))
         if not self.controller.state_fresh():
             part.wants = []
         elif now >= self.pass_after and (part.stale or now - self.passed_at > self.controller.tick_s):
@@ -168,6 +175,21 @@
         await self._commit(part)
         self._send_urgent(part)
 
+    async def _read_needs(self, part: Part) -> None:
+        """The watch brings every outcome from here on; what was over before has to be looked up. Its word goes for good,
+        whatever the watch brings meanwhile."""
+        front = self.controller.front
+        while part.unread and self.phase is OwnerPhase.ACTIVE:
+            need = next(iter(part.unread))
+            try:
+                outcome = await front.outcome(need)
+            except Unavailable:
+                return  # asked again with the next turn
+            part.unread.pop(need, None)
+            if outcome is not None:
+                part.settled(need, *outcome, self.controller.now())
+                self.wake.set()
+
     def _pause(self) -> float:
         """Until the next turn, if nothing wakes us: sooner where a pass had to be put off."""
         part = self.part
--- a/ashdock/questions.py
+++ b/ashdock/questions.py
@@ -27,11 +27,15 @@
     stamp: int
     team: str
     reason: str | None
+    kind: str
+    needs: tuple[str, ...]  # what it waits for, or has waited for
 
 
 def known_of(value: dict[str, Any], stamp: int) -> Known:
     spec = value["spec"]
-    return Known(stamp, spec["team"] if isinstance(spec, dict) else spec.team, value.get("reason"))
+    if isinstance(spec, dict):
+        return Known(stamp, spec["team"], value.get("reason"), spec["kind"], tuple(spec.get("needs") or ()))
+    return Known(stamp, spec.team, value.get("reason"), spec.kind, tuple(spec.needs or ()))
 
 
 class Busy(Exception):
@@ -45,7 +49,6 @@
         self.seen = seen  # told of each record read: (job id, record, stamp)
         self.known: OrderedDict[str, Known] = OrderedDict()
         self.waiting: dict[str, asyncio.Future[Known | None]] = {}  # asked, and not yet being compared
-        self.most = state.most_conditions
         self.next_at = 0.0
         self.calls = asyncio.Semaphore(UNDER_WAY)
         self.reads = asyncio.Semaphore(UNDER_WAY)
@@ -64,6 +67,10 @@
         if len(self.known) > KNOWN:
             self.known.popitem(last=False)
 
+    @property
+    def most(self) -> int:
+        return self.state.most_conditions
+
     @property
     def pause_s(self) -> float:
         return 1 / (CALLS_SHARE * self.state.requests.per_s)
--- a/ashdock/settings.py
+++ b/ashdock/settings.py
@@ -54,11 +54,29 @@
     cancel_s: Positive
 
 
+class NextLimits(Struct):
+    """What the state service will take from some moment on; what is not named stays."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=4)] | None = None
+
+
 class StateLimits(Struct):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=4)]
+    next: NextLimits | None = None
+
+    def smaller(self) -> StateLimits:
+        """What is within both the limits in force and those to come."""
+        later = self.next or NextLimits()
+        return StateLimits(
+            min(self.rps, later.rps or self.rps), min(self.write_rps, later.write_rps or self.write_rps),
+            min(self.value_kb, later.value_kb or self.value_kb), min(self.txn_ops, later.txn_ops or self.txn_ops),
+        )  # fmt: skip
 
 
 class CloudLimits(Struct):
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -24,6 +24,7 @@
 WANT = struct.Struct("!dddIB??dBI?")  # cpus gpus memory tasks priority spot together slack guaranteed whole idle
 OWED = struct.Struct("!I?")  # number, spot
 BUSY = struct.Struct("!Bd")  # priority, loss
+AHEAD = struct.Struct("!bd")  # priority, when it had better be done
 BEAT = struct.Struct("!Qdd??dd")  # incarnation, age of the state's last answer, of the last worker's; ready, leader; demand
 
 
@@ -43,6 +44,7 @@
     GIVE = 9
     OWED = 10
     CLAIMS = 11
+    AHEAD = 12
 
 
 class Hello(NamedTuple):
@@ -87,13 +89,21 @@
     to: str
 
 
+class Ahead(NamedTuple):
+    """What a part's jobs make of the jobs of other parts that they need: whose, and what priority and time are carried back.
+    Versions before do not know it: it is sent only once every controller is of the new version."""
+
+    part: str
+    jobs: list[tuple[str, int, float]]
+
+
 class Claims(NamedTuple):
     """The parts that the sender owns, with the stamps of its claims."""
 
     parts: list[tuple[str, int]]
 
 
-Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give | Owed | Claims
+Frame = Hello | Beat | Picture | Yield | Recalled | Relay | Relayed | Counts | Give | Owed | Claims | Ahead
 
 
 def _text(value: str) -> bytes:
@@ -180,6 +190,9 @@
             return FrameKind.OWED, _text(part) + _text(to) + OWED.pack(number, spot) + names + _text(zone)
         case Claims(parts):
             return FrameKind.CLAIMS, U32.pack(len(parts)) + b"".join(_text(part) + U64.pack(stamp) for part, stamp in parts)
+        case Ahead(part, jobs):
+            rows = b"".join(_text(job) + AHEAD.pack(priority, finish_by) for job, priority, finish_by in jobs)
+            return FrameKind.AHEAD, _text(part) + U32.pack(len(jobs)) + rows
     raise BadFrame(f"no such frame: {frame!r}")
 
 
@@ -259,6 +272,9 @@
         frame = Owed(part, to, number, types, reader.text(), spot)
     elif kind == FrameKind.CLAIMS:
         frame = Claims([(reader.text(), reader.take(U64)[0]) for _ in range(reader.many())])
+    elif kind == FrameKind.AHEAD:
+        part = reader.text()
+        frame = Ahead(part, [(reader.text(), *reader.take(AHEAD)) for _ in range(reader.many())])
     else:
         raise BadFrame(f"kind {kind}")
     reader.end()
--- a/ashdock/wire/messages.py
+++ b/ashdock/wire/messages.py
@@ -5,11 +5,12 @@
 from typing import Annotated, Any, Literal
 
 import msgspec
-from msgspec import Meta, Struct, field
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 
 Count = Annotated[int, Meta(ge=0)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
+JobId = Annotated[str, Meta(pattern=r"^req-[0-9A-Za-z_.-]{1,100}\Z")]
 
 KINDS = {"sweep": "array", "ensemble": "gang", "daemon": "service"}
 PRIORITIES = {"critical": 3, "high": 2, "standard": 1, "best_effort": 0}
@@ -18,7 +19,7 @@
 class Run(Struct):
     """A submission, as users send it."""
 
-    id: Annotated[str, Meta(pattern=r"^req-[0-9A-Za-z_.-]{1,100}\Z")]
+    id: JobId
     workload: Text
     owner: Text
     shape: Literal["sweep", "ensemble", "daemon"]
@@ -38,6 +39,7 @@
     hulls: list[Text] | None = None
     yard: Text | None = None
     due_s: Amount | None = None
+    awaits: list[JobId] | None = None
 
 
 class Spec(Struct):
@@ -63,6 +65,8 @@
     types: list[str] | None = None
     zone: str | None = None
     deadline_s: float | None = None
+    # Jobs that have to be done first. Not there at all where there are none: versions before wrote no such field.
+    needs: list[str] | UnsetType = UNSET
 
 
 def spec_of(run: Run) -> Spec:
@@ -71,6 +75,7 @@
         tasks=run.shares, cpus=run.cpus, gpus=run.accelerators, memory_gb=run.ram_gb, image=run.bundle,
         image_gb=run.size_gb, one_zone=run.same_place, spread=run.spread, spot=run.loaners, estimate_s=run.expect_s,
         checkpoint_s=run.snapshot_s, save_s=run.flush_s, types=run.hulls, zone=run.yard, deadline_s=run.due_s,
+        needs=list(dict.fromkeys(run.awaits)) if run.awaits else UNSET,
     )  # fmt: skip
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -72,7 +72,7 @@
     value = job.chunk_value(1)
     assert len(encode(value)) < 8.0 * 1024
     again = Job(spec(shares=size * 3), 0.0, 7, size)
-    placed = again.load_chunk(1, value, 9, 0.0)
+    placed = again.load_chunks([("1", value, 9)], 0.0)
     assert len(placed) == size and again.chunk_value(1) == value and all(p.phase is Phase.ORDERED for p in placed)
 
 
@@ -379,7 +379,7 @@
     aims = [Objective("finished", 0.5, "w", 400.0)]
     part.worth = Worth(Team("red"), msgspec.structs.replace(part.shared, objectives=aims), part.catalog)
     assert [job.id[-1] for job in part.waiting(9.0)] == ["3", "2", "1"]
-    part.jobs["req-000002"].submitted = -2000.0  # long overdue: nothing starves
+    part.jobs["req-000002"].since = -2000.0  # long overdue: nothing starves
     assert [job.id[-1] for job in part.waiting(9.0)] == ["2", "3", "1"]
 
 
