--- a/tests/standins.py
+++ b/tests/standins.py
@@ -34,6 +34,12 @@
         self.rng = random.Random(net.rng.random())
         self.wake = asyncio.Condition()
         self.blind = False  # watches of jobs see nothing, and then have fallen too far behind
+        self.limits: tuple[float, int] | None = None  # bytes of a value and changes of a transaction that it takes
+        self.write_rps: float | None = None
+        self.tokens, self.filled = 0.0, 0.0
+        self.refused: dict[int, int] = {}  # by status
+        self.counted = 0  # puts and deletes
+        self.requests = 0
         self.hook: Any = None  # called with each transaction's writes before they are applied
 
     async def start(self) -> None:
@@ -73,6 +79,7 @@
             return await self._watch(words)
         if self.down:
             return reply(503, {"error": "trouble"})
+        self.requests += 1
         await asyncio.sleep(0.003 + self.slow)
         if path == "/txn":
             return await self._txn(json.loads(request.body))
@@ -99,6 +106,21 @@
             await asyncio.sleep(60)
         return answer
 
+    def _beyond(self, writes: list[dict[str, Any]]) -> int:
+        """The status of a transaction beyond the limits, as they are at this moment and without notice; 0 within them."""
+        if self.limits:
+            most, ops = self.limits
+            if len(writes) > ops or any(len(json.dumps(w["value"], separators=(",", ":"))) > most for w in writes if "set" in w):
+                return 400
+        if self.write_rps and writes:
+            now = asyncio.get_running_loop().time()
+            self.tokens = min(self.write_rps, self.tokens + (now - self.filled) * self.write_rps)
+            self.filled = now
+            if self.tokens < len(writes):
+                return 429
+            self.tokens -= len(writes)
+        return 0
+
     async def _late(self, body: dict[str, Any]) -> None:
         await asyncio.sleep(2 + 4 * self.rng.random())
         await self._decide(body)
@@ -110,6 +132,11 @@
         failed = [c["path"] for c in body.get("when", []) if self.keys.get(c["path"], (0, 0, 0))[1] != c["stamp"]]
         if failed:
             return reply(409, {"failed": failed, "ledger": self.ledger})
+        trouble = self._beyond(writes)
+        if trouble:
+            self.refused[trouble] = self.refused.get(trouble, 0) + 1
+            return reply(trouble, {"error": "too large" if trouble == 400 else "too many"})
+        self.counted += len(writes)
         if self.hook:
             self.hook(writes)
         return reply(200, {"ledger": await self._apply(writes) if writes else self.ledger})
