--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -342,7 +342,7 @@
         if status != "queued":
             for other in list(self.owners.values()):
                 if other.waits_for(job_id):
-                    other.note(lambda part: part.settled(job_id, status, value.get("done_at"), self.now()))
+                    other.note(lambda part: part.pipelines.settled(job_id, status, value.get("done_at"), self.now()))
 
     def _job_news(self, part: Part, job_id: str, value: Any, stamp: int) -> None:
         if job_id not in part.jobs and not self.front.is_final(job_id):
@@ -379,7 +379,7 @@
         for team, owner in self.owners.items():
             if owner.phase is not OwnerPhase.ACTIVE or not owner.part:
                 continue
-            rows = owner.part.needs.abroad(owner.part.jobs)
+            rows = owner.part.pipelines.needs.abroad(owner.part.jobs)
             if rows or team in self.told_ahead:
                 ahead = Ahead(team, rows[:COUNTS_AT_ONCE])
                 self.mesh.broadcast(ahead)
@@ -389,7 +389,7 @@
     def _heard_ahead(self, ahead: Ahead) -> None:
         for team, owner in self.owners.items():
             if team != ahead.part:
-                owner.note(lambda part: part.hear_needs(*ahead))
+                owner.note(lambda part: part.pipelines.hear(*ahead))
 
     def tell_claims(self) -> None:
         claims = [(team, owner.part.stamp) for team, owner in self.owners.items() if owner.part]
--- /dev/null
+++ b/ashdock/core/ledger.py
@@ -0,0 +1,263 @@
+"""What of a part is not durable yet, and the transactions that make it so.
+
+Every transaction carries the part's fence and the written keys' own stamps. What comes of it is noted only once it has been
+answered; one that was not answered shows by the stamps.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ashdock.core.job import Chunk, Job, JobPhase, fitting
+from ashdock.core.machine import Machine, MachinePhase
+from ashdock.core.quota import guaranteed
+from ashdock.core.task import Phase
+
+if TYPE_CHECKING:
+    from ashdock.core.part import Part
+
+log = logging.getLogger("ashdock.part")
+
+
+class Txn:
+    """A transaction being put together, and what to note once it is durable."""
+
+    def __init__(self, ops: int) -> None:
+        self.when: dict[str, int] = {}
+        self.writes: dict[str, Any] = {}  # None deletes
+        self.marks: list[Callable[[int], None]] = []
+        self.ops = ops
+        self.bytes = 200
+        self.urgent = False  # whether anything in it cannot wait until there is more than enough of our share left
+
+    def room(self, ops: int, size: int) -> bool:
+        return not self.writes or (len(self.writes) + ops <= self.ops and self.bytes + size <= 60 * 1024)
+
+    def put(self, path: str, value: Any, stamp: int) -> None:
+        self.when[path] = stamp
+        self.writes[path] = value
+
+
+class Ledger:
+    def __init__(self, part: Part) -> None:
+        self.part = part
+        self.touched: dict[str, Job] = {}  # jobs with something to write: a transaction must not look at all of them
+        self.changing: dict[str, None] = {}  # machines whose record may have to be written
+        self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
+
+    def next_txn(self) -> Txn | None:
+        """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for."""
+        part = self.part
+        # No more at a time than our share of a second: what comes after must not wait longer than that.
+        txn = Txn(max(4, min(part.bounds.ops, int(part.bounds.write_rps / part.shared.size))))
+        part.parks.fit(part.bounds.value_bytes)
+        later: list[Job] = []
+        for job in list(self.touched.values()):
+            if job.id not in part.jobs or not self._unwritten(job):
+                del self.touched[job.id]
+            elif job.pressing and not self._bulk(job):
+                txn.urgent = True
+                if not self._write_job(job, txn):
+                    break
+            else:
+                later.append(job)
+        for n, value in part.parks.writes() if part.parks.dirty else ():
+            size = part.bounds.value_bytes
+            if txn.room(1, size):
+                stamp = part.parks.stamps[n] if n < len(part.parks.stamps) else 0
+                txn.put(part.parks.path(n), value, stamp)
+                txn.bytes += size
+                txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
+        for name in list(self.changing):
+            machine = part.machines.get(name)
+            if machine is None or (machine.to is None and not machine.bump and not machine.doom_gen):
+                del self.changing[name]
+                continue
+            txn.urgent = True
+            self._write_machine(machine, txn)
+            if machine.to is not None and machine.ended and not machine.live:
+                part.urgent[machine.name] = None  # the sooner it forgets, the sooner it can go
+        for job in later:
+            if not self._write_job(job, txn):
+                break
+        while self.leftover and txn.room(1, 100):
+            path, stamp = self.leftover.pop()
+            txn.put(path, None, stamp)
+        if not txn.writes:
+            return None
+        txn.when[f"part/{part.name}"] = part.stamp
+        return txn
+
+    def _parks_written(self, n: int, value: list[Any] | None, revision: int) -> None:
+        self.part.parks.wrote(n, value, revision)
+        self.part.parks.dirty = bool(self.part.parks.writes())
+
+    def _bulk(self, job: Job) -> bool:
+        """An array of short tasks beyond any guarantee, still under way: others' writes go before its many."""
+        spec = job.spec
+        return (
+            job.active and spec.kind == "array" and math.isinf(job.due) and spec.tasks > self.part.chunk_tasks
+            and not guaranteed(self.part.team, spec.cpus, spec.gpus)
+        )  # fmt: skip
+
+    @staticmethod
+    def _unwritten(job: Job) -> bool:
+        if job.settled or job.wider:
+            return True
+        return job.reason_gen > job.reason_durable or any(chunk.gen > chunk.durable for chunk in job.chunks.values())
+
+    def _write_job(self, job: Job, txn: Txn) -> bool:
+        """Whether it found room in the transaction."""
+        if job.settled:
+            return self._write_outcome(job, txn)
+        dirty = self._dirty(job)
+        if job.spec.kind == "gang" and dirty:
+            # A gang is placed whole or not at all, so its chunks go together. Where one transaction does not take them all
+            # they go one after the other, and no start before the last; a takeover in between takes the attempt down.
+            size = sum(len(value) + 120 for _, value in dirty)
+            if (len(dirty) <= txn.ops or not self.part.bounds.agreed) and not txn.room(len(dirty), size):
+                return False
+        for chunk, value in dirty:
+            size = len(value) + 120
+            if (job.spec.kind != "gang" or self.part.bounds.agreed) and not txn.room(1, size):
+                return False
+            txn.put(job.path(chunk.n), msgspec.Raw(value), chunk.stamp)
+            txn.when[job.job_path] = job.stamp
+            txn.bytes += size
+            txn.marks.append(lambda revision, c=chunk, gen=chunk.gen: self._chunk_durable(job, c, gen, revision))  # type: ignore[misc]
+        for tail, wide in list(job.wider.items()):
+            # What narrower chunks have taken over. All of them are durable, or become so with this.
+            if all(chunk.gen <= chunk.durable or job.path(chunk.n) in txn.writes for chunk in job.pieces(wide.low, wide.high)):
+                if not txn.room(1, 100):
+                    return False
+                txn.put(job.work_path(tail), None, wide.stamp)
+                txn.bytes += 100
+                txn.marks.append(lambda revision, tail=tail: job.chunk_wrote(tail, 0))  # type: ignore[misc]
+        if job.reason_gen > job.reason_durable and job.active:
+            record = job.record()
+            size = 2 * len(msgspec.json.encode(record))
+            if size > 2 * self.part.bounds.value_bytes:
+                job.reason_durable = job.reason_gen  # too large as it was submitted: told by its owner's log alone
+                return True
+            if not txn.room(2, size):
+                return False
+            txn.put(job.job_path, record, job.stamp)
+            txn.put(job.head_path, record, job.stamp)
+            txn.bytes += size
+            txn.marks.append(lambda revision, gen=job.reason_gen: self._reason_durable(job, gen, revision))  # type: ignore[misc]
+        return True
+
+    def _dirty(self, job: Job) -> list[tuple[Chunk, bytes]]:
+        """Its chunks to be written, narrowed until each fits a value."""
+        while True:
+            dirty = [(chunk, msgspec.json.encode(job.chunk_value(chunk.n))) for chunk in job.chunks.values() if chunk.gen > chunk.durable]
+            largest = max((len(value) for _, value in dirty), default=0)
+            if largest <= self.part.bounds.value_bytes or job.chunk_tasks == 1 or not self.part.bounds.agreed:
+                return dirty
+            job.narrow(max(1, min(job.chunk_tasks * self.part.bounds.value_bytes // largest, job.chunk_tasks * 3 // 4)))
+            log.info("job %s: a chunk of %d bytes is too large; from here on %d tasks to a chunk", job.id, largest, job.chunk_tasks)
+
+    def _write_outcome(self, job: Job, txn: Txn) -> bool:
+        chunks = [(job.path(chunk.n), chunk.stamp) for chunk in job.chunks.values() if chunk.stamp]
+        chunks += [(job.work_path(tail), wide.stamp) for tail, wide in job.wider.items()]
+        together, later = chunks[: txn.ops - 4], chunks[txn.ops - 4 :]
+        record = fitting(job.record(), self.part.bounds.value_bytes)
+        size = 100 * (len(together) + 2) + len(msgspec.json.encode(record))
+        if not txn.room(len(together) + 2, size):
+            return False
+        if job.phase is not JobPhase.CANCELLED:
+            txn.put(job.job_path, record, job.stamp)
+        txn.put(job.head_path, None, job.stamp)
+        for path, stamp in together:
+            txn.put(path, None, stamp)
+        txn.bytes += size
+        txn.marks.append(lambda revision: self._outcome_durable(job, later))
+        return True
+
+    def _write_machine(self, machine: Machine, txn: Txn) -> None:
+        moves = machine.to is not None and machine.empty and machine.phase is MachinePhase.LEAVING
+        bump = machine.bump and any(sent >= self.part.token(machine) for sent in machine.outstanding.values())
+        if not (moves or bump or machine.doom_gen) or not txn.room(1, 300):
+            return
+        to = machine.to if moves and machine.to is not None else self.part.name
+        txn.put(f"machine/{machine.name}", machine.value(to, self.part.bounds.value_bytes), machine.stamp)
+        txn.bytes += 300
+        txn.marks.append(lambda revision: self._machine_written(machine, to, revision))
+
+    def _machine_written(self, machine: Machine, to: str, revision: int) -> None:
+        machine.stamp = revision
+        machine.doom_gen = 0
+        machine.bump = False
+        if to != self.part.name:
+            log.info("machine %s goes to %s", machine.name, to or "the pool")
+            self.part.machines.pop(machine.name, None)
+
+    def _chunk_durable(self, job: Job, chunk: Chunk, gen: int, revision: int) -> None:
+        chunk.stamp = revision
+        chunk.durable = max(chunk.durable, gen)
+        together = job.spec.kind == "gang"
+        if together and any(other.placed > other.durable for other in job.chunks.values()):
+            return  # no start of a gang before its last chunk is durable
+        for placement in (job if together else chunk).live.values():
+            if placement.phase is Phase.INTENDED and placement.gen <= job.chunk_of(placement.task).durable:
+                placement.committed()
+                self.part.urgent[placement.machine] = None
+
+    def _reason_durable(self, job: Job, gen: int, revision: int) -> None:
+        job.reason_durable = gen
+        job.stamp = revision
+
+    def _outcome_durable(self, job: Job, later: list[Any]) -> None:
+        self.leftover += later
+        done = job.phase is JobPhase.OVER
+        if done:
+            log.info("job %s is done", job.id)
+        job.phase = JobPhase.FINAL
+        for placement in list(job.live.values()):
+            self.part.drop(placement, placement.placed_at)
+        self.part.parks.drop(job.id)
+        self.part.jobs.pop(job.id, None)
+        self.part.pipelines.settled(job.id, "done" if done else "withdrawn", job.ended_at, self.part.clock)
+
+    def reread(self, path: str, value: Any, stamp: int, now: float) -> None:
+        """A condition of ours failed though the part is still ours: take in what the key holds now.
+
+        Only a transaction of our own that was applied late, a withdrawal, or the leader's deletion of a
+        machine that is gone can have changed it.
+        """
+        part = self.part
+        kind, _, rest = path.partition("/")
+        if kind == "job":
+            job = part.jobs.get(rest)
+            if job is None or value is None:
+                return
+            if value["status"] == "withdrawn":
+                part.cancel(rest, value.get("cancelled_at", now), stamp, now)
+            job.stamp = stamp
+            if value["status"] == "done" and job.phase is JobPhase.OVER:
+                self._outcome_durable(job, [])
+        elif kind == "work":
+            _, job_id, tail = rest.split("/", 2)
+            job = part.jobs.get(job_id)
+            if job is None:
+                return
+            if tail != "job":
+                job.chunk_wrote(tail, stamp)
+            elif value is None and job.phase is JobPhase.CANCELLED:
+                self._outcome_durable(job, [])
+        elif kind == "park":
+            n = int(rest.rsplit("/", 1)[1])
+            part.parks.wrote(n, value, stamp)
+            part.parks.dirty = True
+        elif kind == "machine":
+            if value is None:
+                part.machine_gone(rest, now)
+            elif value.get("p") != part.name:
+                part.machines.pop(rest, None)
+            else:
+                part.add_machine(rest, value, stamp, now)
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -11,17 +11,16 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-import msgspec
-
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
 from ashdock.core.bounds import Bounds
-from ashdock.core.job import Chunk, Job, JobPhase, chunk_size, fitting, spec_of_record
+from ashdock.core.job import Job, JobPhase, chunk_size, spec_of_record
+from ashdock.core.ledger import Ledger
 from ashdock.core.machine import Machine, MachinePhase, capacity
-from ashdock.core.needs import Carried, Needs
+from ashdock.core.pipelines import Pipelines
 from ashdock.core.quota import Usage, guaranteed
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.core.worth import Worth
@@ -36,25 +35,6 @@
 MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
 
 
-class Txn:
-    """A transaction being put together, and what to note once it is durable."""
-
-    def __init__(self, ops: int) -> None:
-        self.when: dict[str, int] = {}
-        self.writes: dict[str, Any] = {}  # None deletes
-        self.marks: list[Callable[[int], None]] = []
-        self.ops = ops
-        self.bytes = 200
-        self.urgent = False  # whether anything in it cannot wait until there is more than enough of our share left
-
-    def room(self, ops: int, size: int) -> bool:
-        return not self.writes or (len(self.writes) + ops <= self.ops and self.bytes + size <= 60 * 1024)
-
-    def put(self, path: str, value: Any, stamp: int) -> None:
-        self.when[path] = stamp
-        self.writes[path] = value
-
-
 class Want(NamedTuple):
     """Room that a part lacks, as its owner tells the leader."""
 
@@ -160,10 +140,8 @@
         self.bounds = bounds or Bounds(shared.state)
         self.parks = parking.Parks(team.name, self.bounds.value_bytes)
         self.chunk_tasks = chunk_size(shared.state.value_kb)  # as the versions before had it, whatever the limits come to be
-        self.needs = Needs()
-        self.unread: dict[str, None] = {}  # jobs that ours wait for, of which it is not known yet how they stand
+        self.pipelines = Pipelines(self)
         self.strange: dict[str, set[str]] = {}  # job: machines where it runs without a placement
-        self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
         self.wants: list[Want] = []
         self.wanted_before = False
         self.learnt: dict[str, tuple[float, int]] = {}  # class: run time by estimate, and from how many tasks
@@ -171,9 +149,7 @@
         self.seen = stamp
         self.looked = stamp  # what was seen when the last pass began
         self.urgent: dict[str, None] = {}  # machines with orders worth sending at once
-        # What a pass or a transaction has to look at, so that neither looks at everything each time.
-        self.touched: dict[str, Job] = {}  # jobs with something to write
-        self.changing: dict[str, None] = {}  # machines whose record may have to be written
+        self.ledger = Ledger(self)
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.taken = 0  # machines that were up for the owner before
         self.taken_at = -math.inf
@@ -210,7 +186,7 @@
             for placement in job.load_chunks(chunks.pop(job_id, []), now):
                 self._count(job, placement, now)
         for job_id, rest in chunks.items():
-            self.leftover += [(f"work/{self.name}/{job_id}/{tail}", stamp) for tail, _, stamp in rest]
+            self.ledger.leftover += [(f"work/{self.name}/{job_id}/{tail}", stamp) for tail, _, stamp in rest]
         for path, value, stamp in parks:
             for park in self.parks.load(int(path.rsplit("/", 1)[1]), value, stamp):
                 parked = self.jobs.get(park.job)
@@ -228,7 +204,7 @@
                 if chunk.stamp or not job.wider:  # what a wider one still holds is to be written
                     chunk.durable = chunk.gen
             self._after_load(job, now)
-        self.look_at_needs(now)
+        self.pipelines.look(now)
 
     def _after_load(self, job: Job, now: float) -> None:
         if not job.active:
@@ -257,7 +233,7 @@
             return known
         width = min(self.chunk_tasks, self.bounds.width) if self.bounds.agreed else self.chunk_tasks
         job = Job(spec, record["at"], stamp, width, self.chunk_tasks)
-        job.listener = self.touched
+        job.listener = self.ledger.touched
         self.stale = True
         job.reason = record.get("reason")
         self.jobs[spec.id] = job
@@ -265,61 +241,10 @@
             self.ending[spec.id] = job
             job.cancel(record.get("cancelled_at", record["at"]))
         elif spec.needs and not started:
-            job.waits = True
-            own = Carried(spec.priority, job.due)
-            self.needs.add(spec.id, spec.needs, own, self._takes(spec), job.submitted)
-            self._carry()
-        job.carried = self.needs.of(spec.id)
+            self.pipelines.add(job)
+        job.carried = self.pipelines.needs.of(spec.id)
         return job
 
-    # -- what jobs wait for ---------------------------------------------------------------------
-
-    def _takes(self, spec: Spec) -> float:
-        """How long from when it may start until it is done, where it finds room at once."""
-        fetch = max((placing.image_s(spec, shape) for shape in self.catalog.values()), default=0.0)
-        return fetch + self.run_s(spec) + 2 * self.workers.report_s
-
-    def look_at_needs(self, now: float) -> None:
-        """How the jobs stand that ours have come to wait for: what is not of this part has to be read."""
-        while self.needs.fresh:
-            need, _ = self.needs.fresh.popitem()
-            job = self.jobs.get(need)
-            if job is None:
-                self.unread[need] = None
-            elif job.phase is JobPhase.CANCELLED:
-                self.settled(need, "withdrawn", None, now)
-
-    def settled(self, need: str, status: str, at: float | None, now: float) -> None:
-        """A job that ours may wait for is durably over: they may start, or never will."""
-        self.unread.pop(need, None)
-        if need not in self.needs.after:
-            return
-        if status == "done":
-            for job_id, since in self.needs.done(need, at):
-                job = self.jobs[job_id]
-                job.released(since)
-                self.stale = True
-                log.info("job %s may start: the last that it needs is done (%s)", job_id, need)
-                self.came(job, now)
-        else:
-            for job_id in self.needs.cancelled(need):
-                log.info("job %s is cancelled with %s, which it needs", job_id, need)
-                self.jobs[job_id].orphan(need, now)
-        self._carry()
-
-    def hear_needs(self, part: str, rows: Iterable[tuple[str, int, float]]) -> None:
-        self.needs.hear(part, rows)
-        self._carry()
-
-    def _carry(self) -> None:
-        for job_id in self.needs.changed:
-            job = self.jobs.get(job_id)
-            if job is not None:
-                job.carried = self.needs.of(job_id)
-        if self.needs.changed:
-            self.stale = True
-            self.needs.changed.clear()
-
     def _over(self, job: Job, now: float) -> None:
         job.over(now if self.bounds.agreed else None)
 
@@ -347,7 +272,7 @@
         if machine:
             machine.take(placement, spec.cpus, spec.gpus, spec.memory_gb)
 
-    def _drop(self, placement: Placement, now: float) -> None:
+    def drop(self, placement: Placement, now: float) -> None:
         """Only on proof that the task is not, and will not be, on its machine."""
         self.stale = True
         job = self.jobs[placement.job]
@@ -368,7 +293,7 @@
 
     def _release(self, placement: Placement, now: float) -> None:
         job = self.jobs[placement.job]
-        self._drop(placement, now)
+        self.drop(placement, now)
         job.release(placement.task)
         if job.spec.kind == "gang":
             self._gang_settled(job, now)
@@ -376,7 +301,7 @@
     def _finish(self, job: Job, task: int, now: float) -> None:
         placement = job.unplace(task)
         if placement:
-            self._drop(placement, now)
+            self.drop(placement, now)
         if job.states[task] != TaskState.DONE:
             job.finish(task)
         job.changed()
@@ -431,7 +356,7 @@
         recent = [at for at in machine.failed.values() if now - at < self.retry.horizon_s / 3]
         if len(recent) >= 2 and machine.phase is MachinePhase.UP and self._may_suspect():
             machine.leave("suspect")
-            self.changing[machine.name] = None
+            self.ledger.changing[machine.name] = None
             log.info("machine %s is suspect: %d jobs failed there; draining it", machine.name, len(recent))
             self._drain(machine, now)
         failure = Failure(0, now, reason)
@@ -673,7 +598,7 @@
         """A start may still arrive, even minutes late: raise the token, so that it cannot."""
         if any(order.verb == RUN for order in orders):
             machine.bump = True
-            self.changing[machine.name] = None
+            self.ledger.changing[machine.name] = None
 
     # -- stopping -------------------------------------------------------------------------------
 
@@ -719,10 +644,7 @@
         job.cancel(at)
         job.stamp = max(job.stamp, stamp)
         job.breaking = None
-        job.waits = False
-        self.needs.drop(job_id)
-        self.settled(job_id, "withdrawn", None, now)
-        self._carry()
+        self.pipelines.cancelled(job, now)
         if not job.done:
             self._exonerate(job)  # most that fail until they are cancelled were submitted with a mistake
         self.ending[job_id] = job
@@ -746,7 +668,7 @@
 
     def tick(self, now: float) -> None:
         self.clock = now
-        self.look_at_needs(now)
+        self.pipelines.look(now)
         for park in self.parks.due(now):
             job = self.jobs.get(park.job)
             if job:
@@ -818,7 +740,7 @@
         log.info("machine %s is given up: %s", machine.name, why)
         machine.doom(why)
         machine.doom_gen = 1
-        self.changing[machine.name] = None
+        self.ledger.changing[machine.name] = None
 
     # -- scheduling -----------------------------------------------------------------------------
 
@@ -1143,7 +1065,7 @@
         if machine is not None and machine.usable and machine.empty and to != self.name:
             machine.to = to
             machine.leave("moves")
-            self.changing[name] = None
+            self.ledger.changing[name] = None
 
     def recall(self, order: Recalled, now: float) -> None:
         """Vacate machines for a team that lacks its guarantee, or for work of higher priority."""
@@ -1153,7 +1075,7 @@
                 log.info("machine %s is vacated for team %s", name, order.to)
                 machine.leave(f"recalled for {order.to}")
                 machine.to = order.to
-                self.changing[name] = None
+                self.ledger.changing[name] = None
                 self._drain(machine, now)
 
     def owe(self, order: Owed, now: float) -> None:
@@ -1170,221 +1092,9 @@
                 elif (not order.types or machine.type in order.types) and order.zone in ("", machine.zone) and (order.spot or not machine.spot):
                     machine.to = to
                     machine.leave(f"passed on to {to}")
-                    self.changing[machine.name] = None
+                    self.ledger.changing[machine.name] = None
                     self.owed[to] = (order._replace(number=order.number - 1), until)
                     break
 
-    # -- writing --------------------------------------------------------------------------------
-
-    def next_txn(self) -> Txn | None:
-        """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for."""
-        # No more at a time than our share of a second: what comes after must not wait longer than that.
-        txn = Txn(max(4, min(self.bounds.ops, int(self.bounds.write_rps / self.shared.size))))
-        self.parks.fit(self.bounds.value_bytes)
-        later: list[Job] = []
-        for job in list(self.touched.values()):
-            if job.id not in self.jobs or not self._unwritten(job):
-                del self.touched[job.id]
-            elif job.pressing and not self._bulk(job):
-                txn.urgent = True
-                if not self._write_job(job, txn):
-                    break
-            else:
-                later.append(job)
-        for n, value in self.parks.writes() if self.parks.dirty else ():
-            size = self.bounds.value_bytes
-            if txn.room(1, size):
-                stamp = self.parks.stamps[n] if n < len(self.parks.stamps) else 0
-                txn.put(self.parks.path(n), value, stamp)
-                txn.bytes += size
-                txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
-        for name in list(self.changing):
-            machine = self.machines.get(name)
-            if machine is None or (machine.to is None and not machine.bump and not machine.doom_gen):
-                del self.changing[name]
-                continue
-            txn.urgent = True
-            self._write_machine(machine, txn)
-            if machine.to is not None and machine.ended and not machine.live:
-                self.urgent[machine.name] = None  # the sooner it forgets, the sooner it can go
-        for job in later:
-            if not self._write_job(job, txn):
-                break
-        while self.leftover and txn.room(1, 100):
-            path, stamp = self.leftover.pop()
-            txn.put(path, None, stamp)
-        if not txn.writes:
-            return None
-        txn.when[f"part/{self.name}"] = self.stamp
-        return txn
-
-    def _parks_written(self, n: int, value: list[Any] | None, revision: int) -> None:
-        self.parks.wrote(n, value, revision)
-        self.parks.dirty = bool(self.parks.writes())
-
-    def _bulk(self, job: Job) -> bool:
-        """An array of short tasks beyond any guarantee, still under way: others' writes go before its many."""
-        spec = job.spec
-        return (
-            job.active and spec.kind == "array" and math.isinf(job.due) and spec.tasks > self.chunk_tasks
-            and not guaranteed(self.team, spec.cpus, spec.gpus)
-        )  # fmt: skip
-
-    @staticmethod
-    def _unwritten(job: Job) -> bool:
-        if job.settled or job.wider:
-            return True
-        return job.reason_gen > job.reason_durable or any(chunk.gen > chunk.durable for chunk in job.chunks.values())
-
-    def _write_job(self, job: Job, txn: Txn) -> bool:
-        """Whether it found room in the transaction."""
-        if job.settled:
-            return self._write_outcome(job, txn)
-        dirty = self._dirty(job)
-        if job.spec.kind == "gang" and dirty:
-            # A gang is placed whole or not at all, so its chunks go together. Where one transaction does not take them all
-            # they go one after the other, and no start before the last; a takeover in between takes the attempt down.
-            size = sum(len(value) + 120 for _, value in dirty)
-            if (len(dirty) <= txn.ops or not self.bounds.agreed) and not txn.room(len(dirty), size):
-                return False
-        for chunk, value in dirty:
-            size = len(value) + 120
-            if (job.spec.kind != "gang" or self.bounds.agreed) and not txn.room(1, size):
-                return False
-            txn.put(job.path(chunk.n), msgspec.Raw(value), chunk.stamp)
-            txn.when[job.job_path] = job.stamp
-            txn.bytes += size
-            txn.marks.append(lambda revision, c=chunk, gen=chunk.gen: self._chunk_durable(job, c, gen, revision))  # type: ignore[misc]
-        for tail, wide in list(job.wider.items()):
-            # What narrower chunks have taken over. All of them are durable, or become so with this.
-            if all(chunk.gen <= chunk.durable or job.path(chunk.n) in txn.writes for chunk in job.pieces(wide.low, wide.high)):
-                if not txn.room(1, 100):
-                    return False
-                txn.put(job.work_path(tail), None, wide.stamp)
-                txn.bytes += 100
-                txn.marks.append(lambda revision, tail=tail: job.chunk_wrote(tail, 0))  # type: ignore[misc]
-        if job.reason_gen > job.reason_durable and job.active:
-            record = job.record()
-            size = 2 * len(msgspec.json.encode(record))
-            if size > 2 * self.bounds.value_bytes:
-                job.reason_durable = job.reason_gen  # too large as it was submitted: told by its owner's log alone
-                return True
-            if not txn.room(2, size):
-                return False
-            txn.put(job.job_path, record, job.stamp)
-            txn.put(job.head_path, record, job.stamp)
-            txn.bytes += size
-            txn.marks.append(lambda revision, gen=job.reason_gen: self._reason_durable(job, gen, revision))  # type: ignore[misc]
-        return True
-
-    def _dirty(self, job: Job) -> list[tuple[Chunk, bytes]]:
-        """Its chunks to be written, narrowed until each fits a value."""
-        while True:
-            dirty = [(chunk, msgspec.json.encode(job.chunk_value(chunk.n))) for chunk in job.chunks.values() if chunk.gen > chunk.durable]
-            largest = max((len(value) for _, value in dirty), default=0)
-            if largest <= self.bounds.value_bytes or job.chunk_tasks == 1 or not self.bounds.agreed:
-                return dirty
-            job.narrow(max(1, min(job.chunk_tasks * self.bounds.value_bytes // largest, job.chunk_tasks * 3 // 4)))
-            log.info("job %s: a chunk of %d bytes is too large; from here on %d tasks to a chunk", job.id, largest, job.chunk_tasks)
-
-    def _write_outcome(self, job: Job, txn: Txn) -> bool:
-        chunks = [(job.path(chunk.n), chunk.stamp) for chunk in job.chunks.values() if chunk.stamp]
-        chunks += [(job.work_path(tail), wide.stamp) for tail, wide in job.wider.items()]
-        together, later = chunks[: txn.ops - 4], chunks[txn.ops - 4 :]
-        record = fitting(job.record(), self.bounds.value_bytes)
-        size = 100 * (len(together) + 2) + len(msgspec.json.encode(record))
-        if not txn.room(len(together) + 2, size):
-            return False
-        if job.phase is not JobPhase.CANCELLED:
-            txn.put(job.job_path, record, job.stamp)
-        txn.put(job.head_path, None, job.stamp)
-        for path, stamp in together:
-            txn.put(path, None, stamp)
-        txn.bytes += size
-        txn.marks.append(lambda revision: self._outcome_durable(job, later))
-        return True
-
-    def _write_machine(self, machine: Machine, txn: Txn) -> None:
-        moves = machine.to is not None and machine.empty and machine.phase is MachinePhase.LEAVING
-        bump = machine.bump and any(sent >= self.token(machine) for sent in machine.outstanding.values())
-        if not (moves or bump or machine.doom_gen) or not txn.room(1, 300):
-            return
-        to = machine.to if moves and machine.to is not None else self.name
-        txn.put(f"machine/{machine.name}", machine.value(to, self.bounds.value_bytes), machine.stamp)
-        txn.bytes += 300
-        txn.marks.append(lambda revision: self._machine_written(machine, to, revision))
-
-    def _machine_written(self, machine: Machine, to: str, revision: int) -> None:
-        machine.stamp = revision
-        machine.doom_gen = 0
-        machine.bump = False
-        if to != self.name:
-            log.info("machine %s goes to %s", machine.name, to or "the pool")
-            self.machines.pop(machine.name, None)
-
-    def _chunk_durable(self, job: Job, chunk: Chunk, gen: int, revision: int) -> None:
-        chunk.stamp = revision
-        chunk.durable = max(chunk.durable, gen)
-        together = job.spec.kind == "gang"
-        if together and any(other.placed > other.durable for other in job.chunks.values()):
-            return  # no start of a gang before its last chunk is durable
-        for placement in (job if together else chunk).live.values():
-            if placement.phase is Phase.INTENDED and placement.gen <= job.chunk_of(placement.task).durable:
-                placement.committed()
-                self.urgent[placement.machine] = None
-
-    def _reason_durable(self, job: Job, gen: int, revision: int) -> None:
-        job.reason_durable = gen
-        job.stamp = revision
-
-    def _outcome_durable(self, job: Job, later: list[Any]) -> None:
-        self.leftover += later
-        done = job.phase is JobPhase.OVER
-        if done:
-            log.info("job %s is done", job.id)
-        job.phase = JobPhase.FINAL
-        for placement in list(job.live.values()):
-            self._drop(placement, placement.placed_at)
-        self.parks.drop(job.id)
-        self.jobs.pop(job.id, None)
-        self.settled(job.id, "done" if done else "withdrawn", job.ended_at, self.clock)
-
-    def reread(self, path: str, value: Any, stamp: int, now: float) -> None:
-        """A condition of ours failed though the part is still ours: take in what the key holds now.
-
-        Only a transaction of our own that was applied late, a withdrawal, or the leader's deletion of a
-        machine that is gone can have changed it.
-        """
-        kind, _, rest = path.partition("/")
-        if kind == "job":
-            job = self.jobs.get(rest)
-            if job is None or value is None:
-                return
-            if value["status"] == "withdrawn":
-                self.cancel(rest, value.get("cancelled_at", now), stamp, now)
-            job.stamp = stamp
-            if value["status"] == "done" and job.phase is JobPhase.OVER:
-                self._outcome_durable(job, [])
-        elif kind == "work":
-            _, job_id, tail = rest.split("/", 2)
-            job = self.jobs.get(job_id)
-            if job is None:
-                return
-            if tail != "job":
-                job.chunk_wrote(tail, stamp)
-            elif value is None and job.phase is JobPhase.CANCELLED:
-                self._outcome_durable(job, [])
-        elif kind == "park":
-            n = int(rest.rsplit("/", 1)[1])
-            self.parks.wrote(n, value, stamp)
-            self.parks.dirty = True
-        elif kind == "machine":
-            if value is None:
-                self.machine_gone(rest, now)
-            elif value.get("p") != self.name:
-                self.machines.pop(rest, None)
-            else:
-                self.add_machine(rest, value, stamp, now)
-
     def counts(self) -> list[tuple[str, int, int]]:
         return [(job.id, job.done, job.running) for job in self.jobs.values() if job.active]
--- /dev/null
+++ b/ashdock/core/pipelines.py
@@ -0,0 +1,88 @@
+"""A part's jobs that wait for others: released or cancelled as the outcomes come in, and ranked by what needs them.
+
+An outcome is only told once it is durable, by the watch on jobs, by our own write or by a read; it never changes again. So a
+job is released once for good, and so it is cancelled.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from ashdock.core import placement as placing
+from ashdock.core.job import Job, JobPhase
+from ashdock.core.needs import Carried, Needs
+from ashdock.wire.messages import Spec
+
+if TYPE_CHECKING:
+    from ashdock.core.part import Part
+
+log = logging.getLogger("ashdock.part")
+
+
+class Pipelines:
+    def __init__(self, part: Part) -> None:
+        self.part = part
+        self.needs = Needs()
+        self.unread: dict[str, None] = {}  # jobs that ours wait for, of which it is not known yet how they stand
+
+    def add(self, job: Job) -> None:
+        """It may not start before all that it needs is durably done."""
+        job.waits = True
+        own = Carried(job.spec.priority, job.due)
+        self.needs.add(job.id, job.spec.needs or (), own, self._takes(job.spec), job.submitted)
+        self._carry()
+
+    def cancelled(self, job: Job, now: float) -> None:
+        """Durably; so are all that need it."""
+        job.waits = False
+        self.needs.drop(job.id)
+        self.settled(job.id, "withdrawn", None, now)
+        self._carry()
+
+    def _takes(self, spec: Spec) -> float:
+        """How long from when it may start until it is done, where it finds room at once."""
+        fetch = max((placing.image_s(spec, shape) for shape in self.part.catalog.values()), default=0.0)
+        return fetch + self.part.run_s(spec) + 2 * self.part.workers.report_s
+
+    def look(self, now: float) -> None:
+        """How the jobs stand that ours have come to wait for: what is not of this part has to be read."""
+        while self.needs.fresh:
+            need, _ = self.needs.fresh.popitem()
+            job = self.part.jobs.get(need)
+            if job is None:
+                self.unread[need] = None
+            elif job.phase is JobPhase.CANCELLED:
+                self.settled(need, "withdrawn", None, now)
+
+    def settled(self, need: str, status: str, at: float | None, now: float) -> None:
+        """A job that ours may wait for is durably over: they may start, or never will."""
+        self.unread.pop(need, None)
+        if need not in self.needs.after:
+            return
+        if status == "done":
+            for job_id, since in self.needs.done(need, at):
+                job = self.part.jobs[job_id]
+                job.released(since)
+                self.part.stale = True
+                log.info("job %s may start: the last that it needs is done (%s)", job_id, need)
+                self.part.came(job, now)
+        else:
+            for job_id in self.needs.cancelled(need):
+                log.info("job %s is cancelled with %s, which it needs", job_id, need)
+                self.part.jobs[job_id].orphan(need, now)
+        self._carry()
+
+    def hear(self, part: str, rows: Iterable[tuple[str, int, float]]) -> None:
+        self.needs.hear(part, rows)
+        self._carry()
+
+    def _carry(self) -> None:
+        for job_id in self.needs.changed:
+            job = self.part.jobs.get(job_id)
+            if job is not None:
+                job.carried = self.needs.of(job_id)
+        if self.needs.changed:
+            self.part.stale = True
+            self.needs.changed.clear()
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -88,7 +88,7 @@
 
     def waits_for(self, job_id: str) -> bool:
         """Whether the outcome of a job is of any use here. While the part is being read that is not known."""
-        return self.part is None or self.phase is not OwnerPhase.ACTIVE or job_id in self.part.needs.after
+        return self.part is None or self.phase is not OwnerPhase.ACTIVE or job_id in self.part.pipelines.needs.after
 
     async def report(self, report: Report) -> Orders | None:
         if self.phase is not OwnerPhase.ACTIVE:
@@ -103,7 +103,7 @@
         orders = part.on_report(report, self.controller.now(), checkin=True)
         if orders is None:
             return None
-        if part.stale or part.touched or part.changing or part.urgent:
+        if part.stale or part.ledger.touched or part.ledger.changing or part.urgent:
             self.wake.set()  # most reports say nothing new, and call for no turn
         return Orders(part.token(part.machines[report.berth]), orders)
 
@@ -161,7 +161,7 @@
             return
         now = self.controller.now()
         part.tick(now)
-        if part.unread and (self.reading is None or self.reading.done()):
+        if part.pipelines.unread and (self.reading is None or self.reading.done()):
             self.reading = asyncio.create_task(self._read_needs(part))
         if not self.controller.state_fresh():
             part.wants = []
@@ -179,15 +179,15 @@
         """The watch brings every outcome from here on; what was over before has to be looked up. Its word goes for good,
         whatever the watch brings meanwhile."""
         front = self.controller.front
-        while part.unread and self.phase is OwnerPhase.ACTIVE:
-            need = next(iter(part.unread))
+        while part.pipelines.unread and self.phase is OwnerPhase.ACTIVE:
+            need = next(iter(part.pipelines.unread))
             try:
                 outcome = await front.outcome(need)
             except Unavailable:
                 return  # asked again with the next turn
-            part.unread.pop(need, None)
+            part.pipelines.unread.pop(need, None)
             if outcome is not None:
-                part.settled(need, *outcome, self.controller.now())
+                part.pipelines.settled(need, *outcome, self.controller.now())
                 self.wake.set()
 
     def _pause(self) -> float:
@@ -216,7 +216,7 @@
     async def _commit(self, part: Part) -> None:
         state = self.controller.state
         for _ in range(16):
-            txn = part.next_txn()
+            txn = part.ledger.next_txn()
             if txn is None or self.phase is not OwnerPhase.ACTIVE:
                 return
             try:
@@ -251,7 +251,7 @@
                     return False
                 continue
             log.info("part %s: %s had changed; taken in", part.name, path)
-            part.reread(path, entry.value if entry else None, stamp, self.controller.now())
+            part.ledger.reread(path, entry.value if entry else None, stamp, self.controller.now())
         return True
 
     # -- orders sent directly --------------------------------------------------------------------------
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -49,7 +49,7 @@
 
 
 def commit(part: Part, revision: int) -> dict[str, Any]:
-    txn = part.next_txn()
+    txn = part.ledger.next_txn()
     assert txn is not None and txn.when[f"part/{part.name}"] == part.stamp
     for mark in txn.marks:
         mark(revision)
@@ -516,12 +516,12 @@
     part.schedule(1.0)
     commit(part, 20)
     seen: list[str] = []
-    real = part._unwritten
-    monkeypatch.setattr(part, "_unwritten", lambda job: seen.append(job.id) or real(job))
-    assert part.next_txn() is None
+    real = part.ledger._unwritten
+    monkeypatch.setattr(part.ledger, "_unwritten", lambda job: seen.append(job.id) or real(job))
+    assert part.ledger.next_txn() is None
     part.on_report(report("vm-0", 2, [("req-000001/0", 1, "ended", "done")]), 2.0, True)
     seen.clear()
-    assert part.next_txn() is not None
+    assert part.ledger.next_txn() is not None
     assert seen == ["req-000001"]
 
 
@@ -653,7 +653,7 @@
     part.schedule(1.0)
     assert len(part.jobs["req-000001"].live) == 400
     writes = [commit(part, 20)]
-    assert sum(map(len, writes)) <= 8 and part.next_txn() is None
+    assert sum(map(len, writes)) <= 8 and part.ledger.next_txn() is None
     where: dict[str, list[tuple[str, int, str, str | None]]] = {}
     for task, placement in part.jobs["req-000001"].live.items():
         where.setdefault(placement.machine, []).append((f"req-000001/{task}", placement.attempt, "ended", "done"))
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -127,10 +127,10 @@
     part.machines["vm-0"].came_up("x")
     part.machines["vm-1"].came_up("x")
     part.tick(1.0)
-    assert list(part.unread) == ["req-000009"]
+    assert list(part.pipelines.unread) == ["req-000009"]
     first, last = part.jobs["req-000001"], part.jobs["req-000002"]
     assert last.waits and first.priority == last.spec.priority and first.due < last.due == 60.0
-    part.settled("req-000009", "done", 3.0, 3.5)
+    part.pipelines.settled("req-000009", "done", 3.0, 3.5)
     part.schedule(4.0)
     assert len(first.live) == 4 and not last.live and part.usage.gpus == 4 and not part.wants and part.picture(4.0).waiting == 0
     commit(part, 20)
@@ -159,26 +159,26 @@
     # One that comes later and names them: by the word of whoever read how they stand.
     part.add_job(queued(spec(5, awaits=["req-000003"]), 6.0), 40)
     part.tick(7.0)
-    assert list(part.unread) == ["req-000003"]
-    part.settled("req-000003", "withdrawn", None, 7.0)
+    assert list(part.pipelines.unread) == ["req-000003"]
+    part.pipelines.settled("req-000003", "withdrawn", None, 7.0)
     assert part.jobs["req-000005"].phase is JobPhase.ORPHANED
 
 
 @pytest.mark.parametrize("first", ["users", "ours"])
 def test_a_user_and_an_owner_withdraw_at_once(first: str) -> None:
     part = part_with([spec(2, awaits=["req-000001"])])
-    part.settled("req-000001", "withdrawn", None, 5.0)
+    part.pipelines.settled("req-000001", "withdrawn", None, 5.0)
     withdrawn = part.jobs["req-000002"].record() | {"cancelled_at": 5.0}
     if first == "users":
-        assert part.next_txn() is not None  # and its conditions fail
-        part.reread("job/req-000002", withdrawn, 50, 6.0)
-        part.reread("work/red/req-000002/job", withdrawn, 50, 6.0)
+        assert part.ledger.next_txn() is not None  # and its conditions fail
+        part.ledger.reread("job/req-000002", withdrawn, 50, 6.0)
+        part.ledger.reread("work/red/req-000002/job", withdrawn, 50, 6.0)
         assert commit(part, 60) == {"work/red/req-000002/job": None}
     else:
-        assert part.next_txn() is not None  # applied, and its answer lost
-        part.reread("job/req-000002", withdrawn, 50, 6.0)
-        part.reread("work/red/req-000002/job", None, 0, 6.0)
-    assert not part.jobs and part.next_txn() is None
+        assert part.ledger.next_txn() is not None  # applied, and its answer lost
+        part.ledger.reread("job/req-000002", withdrawn, 50, 6.0)
+        part.ledger.reread("work/red/req-000002/job", None, 0, 6.0)
+    assert not part.jobs and part.ledger.next_txn() is None
 
 
 # -- what production wrote ------------------------------------------------------------------------------------------
@@ -296,7 +296,7 @@
         job.set_failure(placement.task, Failure(1, 2.0, "error on vm-000001"))
     before = states(part)
     written = 0
-    while (txn := part.next_txn()) is not None:
+    while (txn := part.ledger.next_txn()) is not None:
         assert store.apply(txn)
         for mark in txn.marks:
             mark(store.ledger)
@@ -313,10 +313,10 @@
     job = part.jobs["req-000001"]
     for placement in list(job.live.values())[:4]:
         job.set_failure(placement.task, Failure(1, 2.0, "error on vm-000001"))
-    txn = part.next_txn()
+    txn = part.ledger.next_txn()
     assert txn is not None and store.apply(txn)
     heir = store.part(new_part(stamp=11, ops=4))
-    while (txn := heir.next_txn()) is not None:
+    while (txn := heir.ledger.next_txn()) is not None:
         assert store.apply(txn)
         for mark in txn.marks:
             mark(store.ledger)
@@ -330,7 +330,7 @@
     old = store.part(part_with([], "", stamp=9))
     old.machines["vm-000001"].came_up("x")
     old.schedule(20.0)
-    late = old.next_txn()
+    late = old.ledger.next_txn()
     assert late is not None and any(path.endswith("/0") for path in late.writes)
     store.part(new_part(stamp=10))
     assert not store.apply(late)
@@ -345,11 +345,11 @@
     part = store.part(new_part(value_kb=8.0))
     part.machines["vm-000001"].came_up("x")
     part.schedule(21.0)
-    late = part.next_txn()
+    late = part.ledger.next_txn()
     assert late is not None and any(path.endswith("/1") for path in late.writes)
     meant = states(part)
     part.jobs["req-000001"].narrow(20)
-    while (txn := part.next_txn()) is not None:
+    while (txn := part.ledger.next_txn()) is not None:
         assert store.apply(txn)
         for mark in txn.marks:
             mark(store.ledger)
@@ -368,7 +368,7 @@
     store = Store({}, bytes_=512, ops=4)
     store.keys |= {"part/red": ({}, 10), "job/req-000001": ({}, 7), "work/red/req-000001/job": (queued(job.spec, 0.0), 7)}
     steps = 0
-    while (txn := part.next_txn()) is not None:
+    while (txn := part.ledger.next_txn()) is not None:
         assert store.apply(txn) and not any(p.phase is Phase.COMMITTED for p in job.live.values())
         for mark in txn.marks:
             mark(store.ledger)
