Records are cut to fit smaller values; reads of what is waited for go together; small duplicates tidied

Machines' records lose their last images, rentals' records name ten teams at most, and only the declared limits refuse a submission: what a refused transaction taught makes chunks narrower, no more. A failure is noted in one place, a line's sum made in one.

--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -67,6 +67,7 @@
 
 
 MOST_RENTED = 50  # in one request
+MOST_TEAMS = 10  # that share one request, so that its record stays a small value; the others' turn comes with the next round
 ANY_NEED = (0.0, 0.0, 0.0)  # what is to be recalled does not depend on how much a task takes
 
 Decision = Rent | Move | Recalled | Release | GivePart | Owed
@@ -209,7 +210,7 @@
         alike: dict[tuple[str, str, bool], list[tuple[str, int]]] = {}
         for (team, kind, zone, spot), number in rents.items():
             room = MOST_RENTED - sum(count for _, count in alike.get((kind, zone, spot), ()))
-            if room > 0:
+            if room > 0 and len(alike.get((kind, zone, spot), ())) < MOST_TEAMS:
                 alike.setdefault((kind, zone, spot), []).append((team, min(number, room)))
         return [Rent(tuple(teams), *key) for key, teams in alike.items()]
 
--- a/ashdock/core/bounds.py
+++ b/ashdock/core/bounds.py
@@ -23,7 +23,7 @@
         self.write_rps = limits.write_rps
         self.rps = limits.rps
         self.ops = limits.txn_ops
-        self.value_bytes = int(limits.value_kb * 1024 * 0.9)
+        self.value_bytes = self.declared_bytes = int(limits.value_kb * 1024 * 0.9)
 
     def agree(self) -> None:
         """From here on everything is written within the limits to come as well: they may hold from any moment."""
@@ -31,7 +31,8 @@
         smaller = self.limits.smaller()
         self.write_rps, self.rps = smaller.write_rps, smaller.rps
         self.ops = min(self.ops, smaller.txn_ops)
-        self.value_bytes = min(self.value_bytes, int(smaller.value_kb * 1024 * 0.9))
+        self.declared_bytes = int(smaller.value_kb * 1024 * 0.9)
+        self.value_bytes = min(self.value_bytes, self.declared_bytes)
 
     def refused(self, ops: int, largest: int) -> None:
         """A transaction was refused as malformed, and ours are not: it must have been too large in one way or the other.
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -132,19 +132,22 @@
         self.fails.pop(task, None)
         self._set(task, TaskState.DONE)
 
-    def park(self, task: int) -> None:
+    def park(self, task: int, failure: Failure) -> None:
+        self._failed(task, failure)
         self.fails.pop(task, None)  # the park carries the count
         self._set(task, TaskState.PARKED)
 
+    def _failed(self, task: int, failure: Failure) -> None:
+        self.fails[task] = failure
+        self.failed = max(self.failed, failure.times)
+
     def wake(self, task: int, failure: Failure) -> None:
         if self.states[task] == TaskState.PARKED:
-            self.failed = max(self.failed, failure.times)
-            self.fails[task] = failure
+            self._failed(task, failure)
             self._set(task, TaskState.READY)
 
     def set_failure(self, task: int, failure: Failure) -> None:
-        self.failed = max(self.failed, failure.times)
-        self.fails[task] = failure
+        self._failed(task, failure)
         self.chunk_of(task).touch()
         self.changed()
 
@@ -364,8 +367,7 @@
         for low, high, *failure in value.get("f", []):
             for task in range(low, high + 1):
                 if not taken[task]:
-                    self.fails[task] = Failure(*failure)
-                    self.failed = max(self.failed, self.fails[task].times)
+                    self._failed(task, Failure(*failure))
         out = []
         for task, machine, attempt in value.get("p", []):
             if not taken[task]:
--- a/ashdock/core/ledger.py
+++ b/ashdock/core/ledger.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from ashdock.core.job import Chunk, Job, JobPhase, fitting
-from ashdock.core.machine import Machine, MachinePhase
+from ashdock.core.machine import Machine, MachinePhase, trimmed
 from ashdock.core.quota import guaranteed
 from ashdock.core.task import Phase
 
@@ -185,7 +185,7 @@
         if not (moves or bump or machine.doom_gen) or not txn.room(1, 300):
             return
         to = machine.to if moves and machine.to is not None else self.part.name
-        txn.put(f"machine/{machine.name}", machine.value(to, self.part.bounds.value_bytes), machine.stamp)
+        txn.put(f"machine/{machine.name}", trimmed(machine.value(to), self.part.bounds.value_bytes), machine.stamp)
         txn.bytes += 300
         txn.marks.append(lambda revision: self._machine_written(machine, to, revision))
 
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import Any
 
+import msgspec
+
 from ashdock.core.task import Placement
 from ashdock.wire.messages import MachineType
 
@@ -63,19 +65,13 @@
         self.inherited = False  # it was up for the owner before, and has not reported to us
         self.to: str | None = None  # asked to go to this part ("" the pool) once empty
 
-    def value(self, part: str, most: int = 1 << 20) -> dict[str, Any]:
-        """Its record, of no more than so many bytes."""
+    def value(self, part: str) -> dict[str, Any]:
         value: dict[str, Any] = {"t": self.type, "z": self.zone, "s": self.spot, "a": self.address, "p": part}
         value["at"] = round(self.rented, 3)
         if self.dated:
             value["r"] = 1
         # The next part's owner is told which images it need not wait for.
-        value["i"] = []
-        room = most - 512 - 2 * len(self.name) - len(self.why)
-        for image in list(reversed(self.images))[:12]:
-            room -= 40 + 4 * len(image)
-            if room >= 0:
-                value["i"].append([image, self.images[image]])
+        value["i"] = [[image, self.images[image]] for image in list(reversed(self.images))[:12]]
         if self.tenure:
             value["n"] = self.tenure  # and can give orders before the worker has found it
         if self.phase is MachinePhase.DOOMED:
@@ -153,6 +149,14 @@
         return now - (self.last_at if self.last_at is not None else self.since)
 
 
+def trimmed(value: dict[str, Any], most: int) -> dict[str, Any]:
+    """A machine's record with no more images than let it fit, the last used first."""
+    images = list(value.get("i", ()))
+    while images and len(msgspec.json.encode({**value, "i": images})) > most:
+        images.pop()
+    return {**value, "i": images} if len(images) < len(value.get("i", ())) else value
+
+
 def images_of(value: dict[str, Any]) -> list[tuple[str, float]]:
     """From a machine's record, the last used first; versions before wrote only the names."""
     return [(item, 0.0) if isinstance(item, str) else (item[0], item[1]) for item in value.get("i", ())]
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -193,8 +193,7 @@
                 for task in range(park.low, park.high + 1):
                     # The chunk has the last word: a task placed since is not parked.
                     if parked and parked.states[task] == TaskState.READY:
-                        parked.park(task)
-                        parked.failed = max(parked.failed, park.failure.times)
+                        parked.park(task, park.failure)
         for machine in self.machines.values():
             machine.inherited = bool(machine.live) or machine.tenure > 0
         self.taken = sum(machine.inherited for machine in self.machines.values())
@@ -391,9 +390,8 @@
                 job.set_failure(task, step.failure)
             return
         at = now + step.delay
-        job.failed = max(job.failed, step.failure.times)
         for task in tasks:
-            job.park(task)
+            job.park(task, step.failure)
         self.parks.add(job.id, ranges_of(tasks), at, step.failure)
         if step.step == "past":
             job.set_reason(f"{what} failed {step.failure.times} times, last: {failure.why}; still tried now and then")
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -102,7 +102,7 @@
         never = self.never(spec)
         if never:
             refusal = error(422, never)
-        elif len(messages.encode(record)) + RECORD_GROWS > controller.bounds.value_bytes:
+        elif len(messages.encode(record)) + RECORD_GROWS > controller.bounds.declared_bytes:
             refusal = error(422, "the job names more machine types, or jobs that it needs, than can be stored")
         elif spec.needs and not controller.bounds.agreed:
             # A controller of the version before may own the part, now or soon, and would start the job at once.
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
-from ashdock.core.machine import images_of
+from ashdock.core.machine import images_of, trimmed
 from ashdock.core.part import Owed, Picture, Recalled
 from ashdock.net.budget import Turn
 from ashdock.net.cloud import CloudTrouble, NoCapacity
@@ -152,7 +152,8 @@
 
     async def _write_some(self, records: dict[str, tuple[int, dict[str, Any] | None]]) -> list[str]:
         state = self.controller.state
-        left = dict(records)
+        most = self.controller.bounds.value_bytes
+        left = {name: (stamp, value and trimmed(value, most)) for name, (stamp, value) in records.items()}
         while left:
             try:
                 when = {f"machine/{name}": stamp for name, (stamp, _) in left.items()}
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -102,21 +102,23 @@
                     self.passed[other] = self.passed[other] + amount if line and other > turn else 0.0
             self.lines[turn].remove((amount, future))
 
+    def _waiting(self, turn: Turn) -> float:
+        return sum(amount for amount, future in self.lines[turn] if not future.done())
+
     @property
     def queued(self) -> float:
-        return sum(amount for line in self.lines.values() for amount, future in line if not future.done())
+        return sum(map(self._waiting, self.lines))
 
     def behind_s(self, turn: Turn = Turn.PATIENT) -> float:
         """How long what is queued up to such a turn will take."""
-        queued = sum(amount for line in self.lines if line <= turn for amount, future in self.lines[line] if not future.done())
+        queued = sum(self._waiting(line) for line in self.lines if line <= turn)
         return max(0.0, (queued - self.left) / self.per_s)
 
     @property
     def demand(self) -> float:
         """What is asked for a second, as far as the last seconds tell, by its weight."""
         self._refill()
-        queued = sum(amount * WEIGHT[turn] for turn, line in self.lines.items() for amount, future in line if not future.done())
-        return self.used / 3 + queued
+        return self.used / 3 + sum(WEIGHT[turn] * self._waiting(turn) for turn in self.lines)
 
 
 def shares(total: float, size: int, ours: float, others: Sequence[float | None]) -> float:
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -22,6 +22,8 @@
 
 log = logging.getLogger("ashdock.owner")
 
+READS_AT_ONCE = 8  # of jobs that ours wait for, after a takeover
+
 
 class OwnerPhase(Enum):
     CLAIMING = "claiming"
@@ -179,16 +181,18 @@
         """The watch brings every outcome from here on; what was over before has to be looked up. Its word goes for good,
         whatever the watch brings meanwhile."""
         front = self.controller.front
-        while part.pipelines.unread and self.phase is OwnerPhase.ACTIVE:
-            need = next(iter(part.pipelines.unread))
+        unread = part.pipelines.unread
+        while unread and self.phase is OwnerPhase.ACTIVE:
+            needs = list(unread)[:READS_AT_ONCE]
             try:
-                outcome = await front.outcome(need)
+                outcomes = await asyncio.gather(*map(front.outcome, needs))
             except Unavailable:
                 return  # asked again with the next turn
-            part.pipelines.unread.pop(need, None)
-            if outcome is not None:
-                part.pipelines.settled(need, *outcome, self.controller.now())
-                self.wake.set()
+            for need, outcome in zip(needs, outcomes, strict=True):
+                unread.pop(need, None)
+                if outcome is not None:
+                    part.pipelines.settled(need, *outcome, self.controller.now())
+                    self.wake.set()
 
     def _pause(self) -> float:
         """Until the next turn, if nothing wakes us: sooner where a pass had to be put off."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,6 +12,7 @@
 from ashdock.core import placement as placing
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
+from ashdock.core.machine import trimmed
 from ashdock.core.part import Busy, Owed, Part, Picture, Recalled, Want
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
@@ -665,3 +666,16 @@
     while part.jobs:
         ends.append(commit(part, 30 + len(ends)))
     assert len(ends) == 1 and len(ends[0]) <= 10
+
+
+def test_a_machine_s_record_is_cut_to_fit_a_value() -> None:
+    """Twelve images with long names made a record that smaller values do not take: it was refused each time it was written."""
+    value = {"t": "g4", "z": "a", "s": False, "a": "x:1", "p": "red", "at": 1.0, "i": [[f"{n}" + "i" * 190, 2.0] for n in range(12)]}
+    short = trimmed(value, 1024)
+    assert len(encode(short)) <= 1024 and 2 < len(short["i"]) < 12 and short["i"] == value["i"][: len(short["i"])]
+    assert trimmed(value, 4096) is value and trimmed({"t": "g4"}, 10) == {"t": "g4"}
+
+
+def test_a_rental_for_many_teams_is_a_small_record() -> None:
+    rents = Allotment._requests({(f"team-{n}", "g4", "a", False): 1 for n in range(30)})
+    assert [len(rent.teams) for rent in rents] == [10] and rents[0].number == 10
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,7 +14,7 @@
 from ashdock.net.http import Answer, Client, Request, Server
 from ashdock.settings import SettingsError, load, load_operators
 from ashdock.wire import frames
-from ashdock.wire.frames import BadFrame, Beat, Claims, Counts, Hello, Relay, Relayed, Yield
+from ashdock.wire.frames import Ahead, BadFrame, Beat, Claims, Counts, Hello, Relay, Relayed, Yield
 from ashdock.wire.messages import Malformed, decode_report, decode_run, encode
 from tests import simtime
 from tests.whole import job
@@ -58,6 +58,9 @@
     ("report_s = 1.0", 'report_s = "x"', "report_s"), ("size = 3", "size = 0", "size"), ('"10.2.0.1:2379"', '"10.2.0.1"', "outside.state"),
     ('bind = "10.0.0.1:8080"', 'bind = "10.0.0.1:99999"', "bind"), ("rps = 6.0", "rps = nan", "rps"), ("cancel_s = 40.0", "cancel_s = 9.0", "cancel_s"),
     ("[outside]", "[outside", "TOML"), ('name = "red"', 'name = "re d"', "teams"), ("txn_ops = 48", "txn_ops = 1", "txn_ops"),
+    ("txn_ops = 48", "txn_ops = 48\n[settings.state.next]\nwrite_rps = 56.0", None),
+    ("txn_ops = 48", "txn_ops = 48\n[settings.state.next]\ntxn_ops = 1", "state.next.txn_ops"),
+    ("txn_ops = 48", 'txn_ops = 48\n[settings.state.next]\nvalue_kb = "2"', "state.next.value_kb"),
 ]  # fmt: skip
 
 
@@ -103,7 +106,7 @@
     Relay(9, b'{"a":1}'), Relayed(9, 503, b""), Counts([("req-1", 3, 4), ("req-2", 0, 0)]),
     Picture("red", 12, [Want(1.0, 2.0, 3.0, ("g4", "g8"), "a", True, False, 5, 2, True, -3.5, "img", 6)], [("vm-9", 2.5)],
             [Busy("vm-8", 3, 4.5)], 4, 5, 6),
-    Owed("red", "blue", 3, ("g4",), "a", True), Owed("red", "blue", 1, (), "", False),
+    Ahead("red", [("req-1", 2, 1.5), ("req-2", -1, float("inf"))]), Owed("red", "blue", 3, ("g4",), "a", True), Owed("red", "blue", 1, (), "", False),
 ]  # fmt: skip
 
 
