--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -755,8 +755,18 @@
     def slack(self, job: Job, now: float) -> float:
         """Seconds until the job had better be running."""
         spec = job.spec
-        in_time = job.due - self.run_s(spec) - now
-        return in_time if spec.deadline_s is not None else min(in_time, job.since + self.aim_s(spec) - now)
+        if math.isinf(job.due):
+            return job.since + self.aim_s(spec) - now
+        return job.due - self.run_s(spec) - now
+
+    def pressed(self, job: Job, now: float) -> bool:
+        """Whether lower work is to be stopped for it. Not for a priority that is only carried back to it, as long as it can
+        wait for a boot, or once it is too late to help what comes after. Steps of pipelines stopped whole gangs, and each
+        other's tasks that save nothing, for places that came free a few seconds later (hunted day: 3425 tasks lost)."""
+        if job.priority <= job.spec.priority:
+            return True
+        boot_s = max((shape.boot_s for shape in self.catalog.values()), default=self.workers.lease_s)
+        return (job.submitted - job.due) / 2 < self.slack(job, now) < boot_s
 
     def aim_s(self, spec: Spec) -> float:
         aims = [o.within_s for o in self.shared.objectives if o.kind == "wait" and o.job_class == spec.job_class]
@@ -833,7 +843,7 @@
         lower: dict[int, list[tuple[Machine, list[Placement]]]] = {}
         for job, missing, zone in short:
             # Nothing of lower priority runs, mostly: then there is nothing to look at.
-            if job.priority > lowest and now - job.preempted_at >= self.workers.lease_s:
+            if job.priority > lowest and now - job.preempted_at >= self.workers.lease_s and self.pressed(job, now):
                 if job.priority not in lower:
                     lower[job.priority] = self._lower_work(job.priority)
                 self._make_room(job, missing, zone, lower[job.priority], now)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -718,3 +718,21 @@
         assert await service.until_final([f"req-{n:06d}" for n in range(1, 25)], 240) == []
 
     play(monkeypatch, 45, day, later=NextLimits(value_kb=1.0, txn_ops=4))
+
+
+@pytest.mark.parametrize(("now", "stopped"), [(10.0, 0), (128.0, 2), (400.0, 0)], ids=["in time", "pressed", "too late"])
+def test_a_carried_priority_stops_lower_work_only_when_it_helps(now: float, stopped: int) -> None:
+    part = part_with([spec(1, shape="ensemble", shares=2, cpus=30.0, snapshot_s=5.0, flush_s=1.0, expect_s=900.0)], "ab")
+    for name in part.machines:
+        part.machines[name].came_up("x")
+    part.schedule(0.5)
+    commit(part, 20)
+    for name in part.machines:
+        part.on_report(report(name, 1), 1.0, checkin=True)
+        its = [(f"{p.job}/{p.task}", p.attempt, "running", None) for p in part.jobs["req-000001"].live.values() if p.machine == name]
+        part.on_report(report(name, 2, its), 2.0, checkin=True)
+    part.add_job(queued(spec(2, shares=2, cpus=16.0, accelerators=0.0, urgency="best_effort", expect_s=8.0), 0.0), 30)
+    part.add_job(queued(spec(3, shares=1, awaits=["req-000002"], urgency="high", expect_s=8.0, due_s=150.0), 0.0), 31)
+    assert part.jobs["req-000002"].priority == 2
+    part.schedule(now)
+    assert sum(p.phase is Phase.STOPPING for p in part.jobs["req-000001"].live.values()) == stopped
