--- a/ashdock/core/ledger.py
+++ b/ashdock/core/ledger.py
@@ -9,6 +9,7 @@
 import logging
 import math
 from collections.abc import Callable
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -118,7 +119,7 @@
         """Whether it found room in the transaction."""
         if job.settled:
             return self._write_outcome(job, txn)
-        dirty = self._dirty(job)
+        dirty = self._dirty(job, txn.ops)
         if job.spec.kind == "gang" and dirty:
             # A gang is placed whole or not at all, so its chunks go together. Where one transaction does not take them all
             # they go one after the other, and no start before the last; a takeover in between takes the attempt down.
@@ -155,10 +156,14 @@
             txn.marks.append(lambda revision, gen=job.reason_gen: self._reason_durable(job, gen, revision))  # type: ignore[misc]
         return True
 
-    def _dirty(self, job: Job) -> list[tuple[Chunk, bytes]]:
-        """Its chunks to be written, narrowed until each fits a value."""
+    def _dirty(self, job: Job, most: int) -> list[tuple[Chunk, bytes]]:
+        """Chunks to be written, narrowed until each fits a value: a gang's all, of an array's no more than one transaction takes."""
         while True:
-            dirty = [(chunk, msgspec.json.encode(job.chunk_value(chunk.n))) for chunk in job.chunks.values() if chunk.gen > chunk.durable]
+            changed = (chunk for chunk in job.chunks.values() if chunk.gen > chunk.durable)
+            dirty = [
+                (chunk, msgspec.json.encode(job.chunk_value(chunk.n)))
+                for chunk in (changed if job.spec.kind == "gang" else islice(changed, most))
+            ]
             largest = max((len(value) for _, value in dirty), default=0)
             if largest <= self.part.bounds.value_bytes or job.chunk_tasks == 1 or not self.part.bounds.agreed:
                 return dirty
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -24,9 +24,10 @@
 from ashdock.wire import frames
 from ashdock.wire.frames import Beat, Claims, Counts, Give, Hello, Yield
 from ashdock.wire.messages import encode
-from tests import simtime
+from tests import simtime, test_whole
 from tests.simtime import spawn
 from tests.test_core import G4, commit, part_with, queued, report, spec
+from tests.test_whole import crash_all, quiet, roll, state_down
 from tests.whole import Service, job, shared
 
 SMALL = NextLimits(write_rps=100.0, value_kb=2.0, txn_ops=6)
@@ -426,17 +427,7 @@
 
 
 def play(monkeypatch: pytest.MonkeyPatch, seed: int, day: Callable[[Service], Awaitable[Any]], **more: Any) -> Service:
-    async def main(net: simtime.Net) -> Service:
-        service = Service(net, **more)
-        await service.start()
-        await asyncio.sleep(4)  # the mark
-        await day(service)
-        service.rules.end()
-        return service
-
-    service: Service = simtime.run(main, seed, monkeypatch)
-    assert service.rules.broken == []
-    return service
+    return test_whole.play(monkeypatch, seed, day, settle=4.0, **more)  # until the mark is there
 
 
 def pipeline(first: int, **more: Any) -> list[dict[str, Any]]:
@@ -448,29 +439,6 @@
     ]  # fmt: skip
 
 
-async def quiet(service: Service) -> None:
-    pass
-
-
-async def state_down(service: Service) -> None:
-    await asyncio.sleep(6)
-    service.state.down = True
-    await asyncio.sleep(8)
-    service.state.down = False
-
-
-async def all_crash(service: Service) -> None:
-    await asyncio.sleep(9)
-    for n in range(3):
-        service.crash(n, 2.0)
-
-
-async def roll(service: Service) -> None:
-    for n in range(3):
-        await asyncio.sleep(4)
-        service.crash(n, 2.0)
-
-
 async def late_and_lost(service: Service) -> None:
     service.state.apply_late = service.state.lose_answers = 0.06
     await asyncio.sleep(30)
@@ -488,7 +456,7 @@
     service.state.limits, service.state.write_rps = (2048, 6), 100.0
 
 
-@pytest.mark.parametrize("fault", [quiet, state_down, all_crash, roll, late_and_lost, watch_behind, limits_fall], ids=lambda f: f.__name__)
+@pytest.mark.parametrize("fault", [quiet, state_down, crash_all, roll, late_and_lost, watch_behind, limits_fall], ids=lambda f: f.__name__)
 def test_pipelines_end_in_order(fault: Callable[[Service], Awaitable[None]], monkeypatch: pytest.MonkeyPatch) -> None:
     async def day(service: Service) -> None:
         spawn(service.net, "users", fault(service))
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -124,10 +124,11 @@
           node_without_state, node_alone, cloud_down, list_lags, all_at_once]  # fmt: skip
 
 
-def play(monkeypatch: pytest.MonkeyPatch, seed: int, day: Callable[[Service], Awaitable[Any]]) -> Service:
+def play(monkeypatch: pytest.MonkeyPatch, seed: int, day: Callable[[Service], Awaitable[Any]], settle: float = 0.0, **more: Any) -> Service:
     async def main(net: simtime.Net) -> Service:
-        service = Service(net)
+        service = Service(net, **more)
         await service.start()
+        await asyncio.sleep(settle)
         await day(service)
         service.rules.end()
         return service
