--- a/ashdock/core/ledger.py
+++ b/ashdock/core/ledger.py
@@ -51,8 +51,9 @@
         self.changing: dict[str, None] = {}  # machines whose record may have to be written
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
 
-    def next_txn(self) -> Txn | None:
-        """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for."""
+    def next_txn(self, short: bool = False) -> Txn | None:
+        """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for. `short`: the
+        state service takes hardly as many changes as there are."""
         part = self.part
         # No more at a time than our share of a second: what comes after must not wait longer than that.
         txn = Txn(max(4, min(part.bounds.ops, int(part.bounds.write_rps / part.shared.size))))
@@ -83,8 +84,8 @@
             self._write_machine(machine, txn)
             if machine.to is not None and machine.ended and not machine.live:
                 part.urgent[machine.name] = None  # the sooner it forgets, the sooner it can go
-        if txn.urgent:
-            # Where changes are short, what can wait is better written once than each time that something else has to be.
+        if txn.urgent and short:
+            # What can wait is better written once than each time that something else has to be.
             txn.ops = min(txn.ops, len(txn.writes) + txn.ops // 4)
         for job in later:
             if not self._write_job(job, txn):
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -67,6 +67,12 @@
             return 0.0
         return max((need - self.left) / self.per_s, 0.001)
 
+    @property
+    def short(self) -> bool:
+        """Whether what is left is asked for as fast as it comes."""
+        self._refill()
+        return self.left < self.most / 2
+
     def spend(self) -> None:
         """What was saved up is gone, by the word of whom we ask."""
         self._refill()
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -224,7 +224,7 @@
     async def _commit(self, part: Part) -> None:
         state = self.controller.state
         for _ in range(16):
-            txn = part.ledger.next_txn()
+            txn = part.ledger.next_txn(short=state.writes.short)
             if txn is None or self.phase is not OwnerPhase.ACTIVE:
                 return
             try:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -704,3 +704,19 @@
     assert part.jobs["req-000002"].priority == 2
     part.schedule(now)
     assert sum(p.phase is Phase.STOPPING for p in part.jobs["req-000001"].live.values()) == stopped
+
+
+@pytest.mark.parametrize(("short", "most"), [(False, 18), (True, 6)])
+def test_where_changes_are_short_what_can_wait_goes_along_in_part_only(short: bool, most: int) -> None:
+    part = new_part(value_kb=0.3, ops=48)
+    part.shared.state.write_rps = part.bounds.write_rps = 54.0
+    part.add_job(queued(spec(1, shares=400, cpus=0.01, accelerators=0.0, ram_gb=0.01), 0.0), 7)
+    job = part.jobs["req-000001"]
+    for task in range(400):
+        job.finish(task) if task < 399 else None
+    assert len(job.chunks) > 20 and not job.pressing
+    part.add_machine("vm-1", {"t": "g4", "z": "a", "s": False, "p": "red"}, 5, 0.0)
+    part._doom(part.machines["vm-1"], "silent")  # this cannot wait
+    txn = part.ledger.next_txn(short)
+    assert txn is not None and txn.urgent and "machine/vm-1" in txn.writes
+    assert 1 + most - 2 <= len(txn.writes) <= most
