--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -243,6 +243,22 @@
         return True
 
 
+    def commit(self, part: Part) -> bool:
+        """Write the part's next transaction; whether there was one."""
+        txn = part.ledger.next_txn()
+        if txn is None:
+            return False
+        assert self.apply(txn)
+        for mark in txn.marks:
+            mark(self.ledger)
+        return True
+
+
+def only(job: str) -> dict[str, Any]:
+    """What production wrote of one job, and of the machine."""
+    return {path: value for path, value in WAS.items() if job in path or path.startswith("machine/")}
+
+
 def states(part: Part) -> dict[str, Any]:
     return {
         job.id: (bytes(job.states), sorted((p.task, p.machine, p.attempt) for p in job.live.values()), sorted(job.fails.items()), job.phase)
@@ -288,20 +304,16 @@
 
 def test_a_takeover_reads_one_picture_at_each_step_of_going_over_to_narrower_chunks() -> None:
     """Values of 8 KiB went over to values of half a KiB, in transactions of four changes."""
-    keys = {path: value for path, value in WAS.items() if "req-000001" in path or path.startswith("machine/")}
+    keys = only("req-000001")
     keys["work/red/req-000001/1"] = {"a": 1, "p": [[task, "vm-000001", 1] for task in range(65, 125)]}
     store = Store(keys, bytes_=512, ops=4)
     part = store.part(new_part(ops=4))
     job = part.jobs["req-000001"]
-    before = states(part)
     for placement in list(job.live.values())[:4]:  # what makes the values be written anew
         job.set_failure(placement.task, Failure(1, 2.0, "error on vm-000001"))
     before = states(part)
     written = 0
-    while (txn := part.ledger.next_txn()) is not None:
-        assert store.apply(txn)
-        for mark in txn.marks:
-            mark(store.ledger)
+    while store.commit(part):
         written += 1
         heir = store.part(new_part(stamp=part.stamp))
         at_heir, meant = states(heir)["req-000001"], before["req-000001"]
@@ -318,16 +330,14 @@
     txn = part.ledger.next_txn()
     assert txn is not None and store.apply(txn)
     heir = store.part(new_part(stamp=11, ops=4))
-    while (txn := heir.ledger.next_txn()) is not None:
-        assert store.apply(txn)
-        for mark in txn.marks:
-            mark(store.ledger)
+    while store.commit(heir):
+        pass
     assert states(store.part(new_part()))["req-000001"][:2] == before["req-000001"][:2]
 
 
 def test_a_late_transaction_of_an_ended_process_is_fenced() -> None:
     """Production's process had sent a placement when it was killed; it is applied after the new owner's claim, or never."""
-    keys = {path: value for path, value in WAS.items() if "req-000001" in path or path.startswith("machine/")}
+    keys = only("req-000001")
     store = Store(keys)
     old = store.part(part_with([], "", stamp=9))
     old.machines["vm-000001"].came_up("x")
@@ -340,7 +350,7 @@
 
 @pytest.mark.parametrize("chunks", [True, False])
 def test_a_late_transaction_from_before_narrower_chunks_has_no_say(chunks: bool) -> None:
-    keys = {path: value for path, value in WAS.items() if "req-000001" in path or path.startswith("machine/")}
+    keys = only("req-000001")
     if not chunks:
         keys = {path: value for path, value in keys.items() if not path.startswith("work/") or path.endswith("/job")}
     store = Store(keys)
@@ -351,10 +361,8 @@
     assert late is not None and any(path.endswith("/1") for path in late.writes)
     meant = states(part)
     part.jobs["req-000001"].narrow(20)
-    while (txn := part.ledger.next_txn()) is not None:
-        assert store.apply(txn)
-        for mark in txn.marks:
-            mark(store.ledger)
+    while store.commit(part):
+        pass
     assert store.apply(late) is not chunks  # a chunk of which nothing was known can still be created
     assert states(store.part(new_part())) == meant
 
