What was read before an await is looked up again after it: a stray, a charter, an owner, a token

Read through leader, owner, controller, front and net for the same thing; found besides: - an owner let go of while it was claimed or read came back to life beside its successor, in no table; - a start was noted under one token and could be sent under a higher one, where a late arrival counts as harmless and is not; - charters of the present reign were carried out once more if the list was read before they were removed; - a machine whose part was being read, or whose owner did not answer a relay, was judged by the owner of two seconds before; - news older than our own deletion brought a machine's record back for a moment. Ruled out: locks over the awaits, which would hold back reports behind the state service.

--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -339,10 +339,13 @@
                     self.answered.clear()
                 self.answered[report.berth] = time.monotonic()
                 return Answer(200, messages.encode(orders))
+            # It waited for a part that was being read: the machine may have gone to another team meanwhile.
+            entry = controller.machines.entries.get(f"machine/{report.berth}")
+            team = entry.value["p"] if entry else ""
         label = controller.owner_label(team)
         if label is None or label == controller.label or relayed:
             return error(503, "not the owner")
-        return await self._elsewhere(report, body, label)
+        return await self._elsewhere(report, body, label, team)
 
     def _ownerless(self, report: messages.Report, known: bool) -> Answer:
         leader = self.controller.leader
@@ -353,7 +356,7 @@
             return Answer(421, messages.encode({"harbour": label}))
         return error(503, "lent to nobody yet")
 
-    async def _elsewhere(self, report: messages.Report, body: bytes, label: str) -> Answer:
+    async def _elsewhere(self, report: messages.Report, body: bytes, label: str, team: str) -> Answer:
         """Send a worker to its owner; if it is back here soon, it can't reach the owner, so pass its report on."""
         controller = self.controller
         now = time.monotonic()
@@ -378,6 +381,8 @@
                         self.relaying.clear()
                     self.relaying[report.berth] = now
                 return Answer(200, answer.body)
+            # Up to two seconds have gone by: whoever did not answer may have been replaced.
+            label = controller.owner_label(team) or label
         self.relaying.pop(report.berth, None)
         if was_there and not hears and now - at > lease / 2:
             # We are on the wrong side ourselves: another may hear its owner.
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from ashdock.again import walk
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.machine import images_of, trimmed
 from ashdock.core.part import Owed, Picture, Recalled
@@ -53,6 +54,7 @@
         self.strays: dict[str, tuple[Report, float]] = {}  # reported and not recorded, and since when
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
+        self.charters_before = controller.charters  # a reign of ours that an outage ended may have left some
         self.listed: dict[str, float] = {}  # machine: when the cloud first listed it
         self.marking: set[str] = set()  # machines that are being given up
         self.unrecorded: dict[str, float] = {}  # machine: since when it is listed without a record
@@ -277,12 +279,19 @@
                 await asyncio.sleep(self.controller.tick_s)
                 left = {name: record for name, record in left.items() if self._entry(name) is None}
 
+    def _ours(self, name: str) -> bool:
+        """Whether we have set out to rent it ourselves, since this reign began."""
+        head, _, number = name.rpartition(".")
+        return head == f"{self.controller.label}.{self.stamp}" and int(number) > self.charters_before
+
     async def _finish_charters(self) -> float | None:
         """What an earlier leader set out to rent: the same request again tells what came of it."""
         entries, _ = await self.controller.state.under("charter/")
+        # Our own may have been written, carried out and removed since this was read: repeated, the cloud names machines again that
+        # may have been released meanwhile, and each would be recorded once more.
         for entry in entries:
             name = entry.path.split("/", 1)[1]
-            if name not in self.renting_names:
+            if not self._ours(name):
                 await self._carry_out(name, entry.value, entry.stamp, None)
         return None
 
@@ -319,11 +328,12 @@
     async def _adopt_strays(self) -> None:
         """What nobody has wanted for a while is recorded all the same: nothing unrecorded is ever returned."""
         now = self.controller.now()
-        for name, (report, since) in list(self.strays.items()):
+        # Adopting waits, and meanwhile a stray may be lent and so recorded: a list made before ended this loop with a KeyError.
+        for name, (report, since) in walk(self.strays):
             if self._entry(name) is not None:
-                del self.strays[name]
+                self.strays.pop(name, None)
             elif now - since > self.allotment.settle_s:
-                del self.strays[name]
+                self.strays.pop(name, None)
                 await self._adopt(name, report.hull, report.yard, report.loaners, report.address)
 
     async def _adopt(self, name: str, kind: str, zone: str, spot: bool, where: str) -> None:
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -274,6 +274,7 @@
         self.under = under
         self.hold_ms = hold_ms
         self.entries: dict[str, Entry] = {}
+        self.deleted: dict[str, int] = {}  # by ourselves, at what revision, until the watch has come so far
         self.ledger = 0
         self.ready = asyncio.Event()
         self.news: list[Any] = []  # called with (path, value or None, stamp)
@@ -284,8 +285,8 @@
 
     def _apply(self, path: str, value: Any, stamp: int) -> None:
         known = self.entries.get(path)
-        if known and known.stamp >= stamp:
-            return
+        if (known and known.stamp >= stamp) or self.deleted.get(path, 0) >= stamp:
+            return  # older than our own write, which the watch has not come to yet: a machine released was back for a moment
         if value is None:
             self.entries.pop(path, None)
         elif self.keep:
@@ -297,6 +298,8 @@
         """Our own write, taken in without waiting for the watch to bring it back."""
         if stamp > self.ledger:
             self._apply(path, value, stamp)
+            if value is None and self.keep:
+                self.deleted[path] = stamp
 
     async def run(self) -> None:
         pause = 0.05
@@ -311,6 +314,8 @@
                     elif change.delete is not None:
                         self._apply(change.delete, None, change.stamp)
                 self.ledger = max(self.ledger, ledger)
+                if self.deleted:
+                    self.deleted = {path: stamp for path, stamp in self.deleted.items() if stamp > self.ledger}
                 pause = 0.05
                 if news:
                     # Each watch opened is a request: where changes come by the dozen a second, they are taken by the bunch.
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from ashdock.again import Overtaken, held
 from ashdock.core.machine import Machine
 from ashdock.core.part import Part
 from ashdock.net.budget import Turn
@@ -129,6 +130,8 @@
             self.lost(f"claimed by another ({why})")
         except Unavailable as why:
             self.lost(f"the state service: {why}")
+        except Overtaken as why:
+            log.debug("part %s: %s", self.team.name, why)
         except Exception:
             log.exception("part %s", self.team.name)
             self.lost("an error of ours")
@@ -140,6 +143,7 @@
         value = {"owner": self.controller.label}
         stamp = await state.txn({path: self.claimed_from}, {path: value})
         self.controller.parts.wrote(path, value, stamp)
+        held(self.phase is OwnerPhase.CLAIMING, "given up while it was being claimed")
         self._claimed(stamp)
         self.controller.tell_claims()
         part = self.part
@@ -148,6 +152,8 @@
         (machines, seen), (work, _), (parks, _) = await asyncio.gather(
             state.under("machine/"), state.under(f"work/{name}/"), state.under(f"park/{name}/")
         )
+        # Another may have claimed it meanwhile: one that let go here used to come back to life as nobody's owner.
+        held(self.phase is OwnerPhase.LOADING, "given up while it was being read")
         mine = [(entry.path.split("/", 1)[1], entry.value, entry.stamp) for entry in machines if entry.value["p"] == name]
         part.load(mine, list(work), list(parks), self.controller.now())
         for job in part.jobs.values():
@@ -171,7 +177,7 @@
         elif self._pass_due(part, now):
             self.passed_at = now
             part.schedule(now)
-            # At most a quarter of the processor goes into passes, however large the part.
+            # No more than its share of the processor goes into passes, however large the part.
             ended = self.controller.now()
             self.pass_after = ended + 3 * (ended - now)
         self.controller.tell_leader(part)
@@ -257,6 +263,7 @@
         fence = f"part/{part.name}"
         for path in failed or [fence]:
             entry = await self.controller.state.get(path)
+            held(self.phase is OwnerPhase.ACTIVE, "given up while it was being written")
             stamp = entry.stamp if entry else 0
             if path == fence:
                 if stamp != part.stamp:
@@ -283,15 +290,15 @@
             orders = part.direct(machine, self.controller.now())
             if orders:
                 machine.sending = True
-                task = asyncio.create_task(self._send(part, machine, orders))
+                task = asyncio.create_task(self._send(part, machine, orders, part.token(machine)))
                 self.sends.add(task)
                 task.add_done_callback(self.sends.discard)
 
-    async def _send(self, part: Part, machine: Machine, orders: list[Order]) -> None:
+    async def _send(self, part: Part, machine: Machine, orders: list[Order], token: int) -> None:
+        # Under the token that the starts are noted with. It may rise before this runs; sent under the higher one, a start that
+        # arrives late would be taken though it counted as harmless.
         try:
-            status, report = await self.controller.worker_client.orders(
-                machine.address, part.token(machine), machine.tenure, orders
-            )
+            status, report = await self.controller.worker_client.orders(machine.address, token, machine.tenure, orders)
             part.direct_answered(machine, orders)
             if report is not None and report.berth == machine.name and self.phase is OwnerPhase.ACTIVE:
                 part.on_report(report, self.controller.now(), checkin=False)
