Admission by named shares of sockets, of the processor and of the state service's writes

Need: sockets are the wall of large fleets. Change: ashdock/admission/. shares.py divides the limit by use; door.py is the table of connections: workers' are closed together with an answer once they outgrow what users leave, the oldest idle first where a newcomer finds no place; desk.py says who is told to come back when (questions before submissions when the processor is behind, submissions when writes are), in the log when it begins and ends, on /metrics always. Our own calls are bounded: the state service's past a line that lease renewals do not wait in, orders to workers by closing idle ones first, else they go with the next report. Passes of several parts share half the processor instead of taking a quarter each. Ruled out: telling callers apart by address (a worker's is not known before it is recorded); relaying by others to spread workers (twice the processor for what a closed connection does); closing idle connections without a word (a report may be on its way).

--- /dev/null
+++ b/ashdock/admission/desk.py
@@ -0,0 +1,118 @@
+"""Where those who serve ask whether to, and where it is said what runs short."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from enum import Enum
+from typing import NamedTuple
+
+from ashdock.admission.door import Door
+from ashdock.admission.processor import Processor
+from ashdock.admission.shares import Use, shares_of
+from ashdock.settings import Shared
+
+log = logging.getLogger("ashdock.admission")
+
+WRITTEN_S = 0.5  # a submission that would wait longer for its turn to be written is sent away instead
+USER_WAITS_S = 2.0  # for the answer to a question (PROTOCOL, "GET /v2/runs/{id}")
+ACCEPT_WAITS_S = 5.0  # for that to a submission
+
+
+class Short(Enum):
+    """What can run short, each for itself."""
+
+    SOCKETS = "sockets"
+    PROCESSOR = "processor"
+    WRITES = "writes"
+
+
+class Refusal(NamedTuple):
+    status: int
+    why: str
+    retry_after: int
+
+
+class _Shortage:
+    """EASY until something is refused or ended for want of it, SHORT until nothing was for a while."""
+
+    def __init__(self, what: Short) -> None:
+        self.what = what
+        self.began: float | None = None
+        self.last = 0.0
+        self.turned_away = 0
+
+    def runs_short(self, now: float, picture: str) -> None:
+        if self.began is None:
+            log.warning("short of %s: %s", self.what.value, picture)
+            self.began, self.turned_away = now, 0
+        self.last = now
+
+    def is_over(self, now: float) -> None:
+        if self.began is not None:
+            log.info("enough %s again after %.1f s; %d were told to come back", self.what.value, now - self.began, self.turned_away)
+            self.began = None
+
+
+class Admission:
+    """One for a controller. Asked by the front for users' requests, by the server for connections."""
+
+    def __init__(self, shared: Shared, peers: int) -> None:
+        self.shared = shared
+        self.shares = shares_of(shared.machine_limits.max_connections, peers)
+        # A worker that has not reported for two and a half of its periods reports elsewhere, or not at all.
+        self.door = Door(self.shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5 * shared.workers.report_s)
+        self.processor = Processor(fades_s=shared.workers.report_s / 2)
+        self.shortages = {what: _Shortage(what) for what in Short}
+        self.refused: Counter[tuple[str, Short]] = Counter()  # what was asked for, and what there was too little of
+        self.calm_s = 2 * shared.workers.report_s
+        self.told_ended = 0
+
+    def submission(self, behind_s: float, now: float) -> Refusal | None:
+        """`behind_s`: how long what users already wait for takes to be written."""
+        late_s = self.processor.late_s(now)
+        if late_s > ACCEPT_WAITS_S / 4:
+            return self._refuse("submission", Short.PROCESSOR, 429, "this controller is behind", 1 + int(late_s), now)
+        if behind_s > WRITTEN_S:
+            return self._refuse("submission", Short.WRITES, 429, "too many submissions at once", 1 + int(behind_s), now)
+        return None
+
+    def question(self, now: float) -> Refusal | None:
+        """Questions give way before submissions do: who asks will ask again in any case."""
+        late_s = self.processor.late_s(now)
+        if late_s > USER_WAITS_S / 4:
+            return self._refuse("question", Short.PROCESSOR, 429, "this controller is behind", 1 + int(late_s), now)
+        return None
+
+    def no_place(self, now: float) -> Refusal:
+        """The answer to whom the door has no place for."""
+        return self._refuse("connection", Short.SOCKETS, 503, "no connection to spare", 1, now)
+
+    def _refuse(self, what: str, of: Short, status: int, why: str, retry_after: int, now: float) -> Refusal:
+        self.refused[what, of] += 1
+        shortage = self.shortages[of]
+        shortage.runs_short(now, self.picture(of, now))
+        shortage.turned_away += 1
+        return Refusal(status, why, retry_after)
+
+    def picture(self, of: Short, now: float) -> str:
+        if of is Short.PROCESSOR:
+            return f"answers wait {self.processor.late_s(now):.2f} s; questions go first, then submissions"
+        if of is Short.WRITES:
+            return "users' submissions come faster than the state service takes them from us"
+        door, users = self.door, self.door.count(Use.USER)
+        return (
+            f"{len(door)} of {self.shares.inbound} connections, {users} users' (of {self.shares.users_most()}), "
+            f"{door.count(Use.WORKER)} workers' (of {self.shares.workers_most(users)}); workers' are closed after their answers"
+        )
+
+    def tick(self, late_s: float, now: float) -> None:
+        """Told by a timer how late it fired."""
+        self.processor.ticked(late_s, now)
+        ended = sum(self.door.ended.values())
+        if self.door.short and ended > self.told_ended:
+            self.shortages[Short.SOCKETS].runs_short(now, self.picture(Short.SOCKETS, now))
+        self.told_ended = ended
+        for shortage in self.shortages.values():
+            if now - shortage.last > self.calm_s:
+                shortage.is_over(now)
--- /dev/null
+++ b/ashdock/admission/door.py
@@ -0,0 +1,150 @@
+"""The table of connections that others have made to us: which may come in, which may stay open after its answer, which go."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from collections.abc import Hashable
+from enum import Enum
+from typing import NamedTuple
+
+from ashdock.admission.shares import Shares, Use
+
+
+class ConnectionPhase(Enum):
+    WAITING = "waiting"  # for its next request, or its first
+    ASKING = "asking"  # a request is coming in, or being answered
+    LEAVING = "leaving"  # told to close: its next request is answered, if there is one, and then it ends
+
+
+class Arrival(NamedTuple):
+    admitted: bool
+    instead: Hashable | None = None  # to be ended to make place for it
+
+
+class _Connection:
+    __slots__ = ("phase", "since", "use")
+
+    def __init__(self, now: float) -> None:
+        self.use = Use.NEW
+        self.phase = ConnectionPhase.ASKING  # whoever connects is to ask at once
+        self.since = now
+
+
+class Door:
+    """Connections are keys here; whoever holds the sockets ends those it is told to end."""
+
+    def __init__(self, shares: Shares, idle_s: float, slow_s: float, quiet_s: float = 0.0) -> None:
+        self.shares = shares
+        self.idle_s = idle_s  # between requests
+        self.slow_s = slow_s  # for one whole request to arrive and be answered
+        self.quiet_s = quiet_s or idle_s  # a worker's connection idle for longer has been left by it
+        # By use, those longest without a change of phase first.
+        self.open: dict[Use, OrderedDict[Hashable, _Connection]] = {use: OrderedDict() for use in Use}
+        self.use: dict[Hashable, Use] = {}
+        self.ended: Counter[tuple[Use, str]] = Counter()  # by use and why, since the start
+        self.peak = 0  # the most that were open at once
+
+    def __len__(self) -> int:
+        return len(self.use)
+
+    def count(self, use: Use) -> int:
+        return len(self.open[use])
+
+    @property
+    def short(self) -> bool:
+        """Whether somebody's connections are ended for want of places."""
+        return self.count(Use.WORKER) >= self.shares.workers_most(self.count(Use.USER)) or len(self) >= self.shares.inbound
+
+    # -- changes of state --------------------------------------------------------------------------------
+
+    def arrive(self, key: Hashable, now: float) -> Arrival:
+        """One more has connected. Where there is no place, one goes that has said nothing for long, or a worker's that waits: it
+        can report over another."""
+        instead = None
+        if len(self) >= self.shares.inbound:
+            instead = self._dispensable(now)
+            if instead is None:
+                self.ended[Use.NEW, "refused"] += 1
+                return Arrival(False)
+            self._end(instead, "made place")
+        self.use[key] = Use.NEW
+        self.open[Use.NEW][key] = _Connection(now)
+        self.peak = max(self.peak, len(self))
+        return Arrival(True, instead)
+
+    def asks(self, key: Hashable, now: float) -> None:
+        """The first bytes of a request have come."""
+        self._change(key, ConnectionPhase.ASKING, now)
+
+    def told(self, key: Hashable, use: Use) -> bool:
+        """The request is here: what it is for. False: no place is left for that, and it is to be told so."""
+        before = self.use.get(key)
+        if before is None:
+            return False  # ended meanwhile
+        if before is not use:
+            self.open[use][key] = self.open[before].pop(key)
+            self.use[key] = use
+        if use is Use.USER and self.count(use) > self.shares.users_most():
+            self.ended[use, "refused"] += 1
+            return False
+        return True
+
+    def answered(self, key: Hashable, now: float) -> bool:
+        """Whether the connection may stay open after its answer."""
+        use = self.use.get(key)
+        if use is None:
+            return False
+        keep = True
+        if use is Use.WORKER:
+            keep = self.count(use) <= self.shares.workers_most(self.count(Use.USER))
+        elif use is Use.USER:
+            # Before users have to be refused theirs are closed as well, once an answer is given.
+            keep = self.count(use) <= self.shares.users_most() * 7 // 8
+        if not keep:
+            self.ended[use, "after an answer"] += 1
+        self._change(key, ConnectionPhase.WAITING if keep else ConnectionPhase.LEAVING, now)
+        return keep
+
+    def left(self, key: Hashable) -> None:
+        use = self.use.pop(key, None)
+        if use is not None:
+            del self.open[use][key]
+
+    def overdue(self, now: float) -> list[Hashable]:
+        """Those to be ended: idle, slow, or left by their worker while places are short."""
+        out: list[Hashable] = []
+        quiet_s = self.quiet_s if self.short else self.idle_s
+        for use, table in self.open.items():
+            idle_s = min(quiet_s, self.idle_s) if use is Use.WORKER else self.idle_s
+            for key, connection in table.items():
+                age = now - connection.since
+                if age <= min(idle_s, self.slow_s):
+                    break  # the rest are younger
+                if age > (self.slow_s if connection.phase is ConnectionPhase.ASKING else idle_s):
+                    out.append(key)
+        for key in out:
+            self._end(key, "idle or slow")
+        return out
+
+    def _change(self, key: Hashable, phase: ConnectionPhase, now: float) -> None:
+        use = self.use.get(key)
+        if use is not None:
+            connection = self.open[use][key]
+            if connection.phase is phase is ConnectionPhase.ASKING:
+                return  # what comes in drop by drop is slow all the same
+            connection.phase, connection.since = phase, now
+            self.open[use].move_to_end(key)
+
+    def _dispensable(self, now: float) -> Hashable | None:
+        key, silent = next(iter(self.open[Use.NEW].items()), (None, None))
+        if silent is not None and now - silent.since > self.slow_s / 4:
+            return key
+        # The oldest is the likeliest to have been left by its worker for good.
+        table = self.open[Use.WORKER]
+        if len(table) <= self.shares.certain[Use.WORKER]:
+            return None
+        return next((key for key, connection in table.items() if connection.phase is ConnectionPhase.WAITING), None)
+
+    def _end(self, key: Hashable, why: str) -> None:
+        self.ended[self.use[key], why] += 1
+        self.left(key)
--- /dev/null
+++ b/ashdock/admission/shares.py
@@ -0,0 +1,59 @@
+"""Named shares of a controller's sockets, each a ratio to the limit that the settings give."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class Use(Enum):
+    """What a socket is for."""
+
+    NEW = "new"  # has connected, and not said yet what it wants
+    USER = "users"
+    PROBE = "probes"  # /ready and /metrics
+    WORKER = "workers"
+    MESH = "mesh"
+    STATE = "state"
+    CLOUD = "cloud"
+    ORDERS = "orders"  # ours to workers
+
+
+# Of the limit, places that nobody else may take, and the least that makes sense. What is left of the limit after all of them is for
+# users before workers: a worker's connection can be opened anew for each report, a user's cannot without its user noticing.
+CERTAIN = {
+    Use.NEW: (1 / 16, 2), Use.USER: (1 / 4, 2), Use.PROBE: (1 / 64, 1), Use.WORKER: (1 / 4, 2),
+    Use.STATE: (1 / 16, 4), Use.CLOUD: (1 / 64, 2), Use.ORDERS: (1 / 8, 1),
+}  # fmt: skip
+SPARE = 1 / 32  # for the listening ends, what the interpreter holds open, and what is on its way
+LINKS = 4  # of the mesh to a peer: one out, one in, and as many once more while one that is dead has not been noticed
+
+
+class Shares(NamedTuple):
+    """Places for each use. `inbound` is what all that connects to us may hold together."""
+
+    limit: int
+    certain: dict[Use, int]
+    inbound: int
+
+    def users_most(self) -> int:
+        return max(self.inbound - sum(self.certain[use] for use in (Use.NEW, Use.PROBE, Use.WORKER)), self.certain[Use.USER])
+
+    def workers_most(self, users: int) -> int:
+        """How many workers' connections may stay open while users have so many: what users do not need, and never less
+        than is certain."""
+        rest = self.inbound - self.certain[Use.NEW] - self.certain[Use.PROBE] - max(users, self.certain[Use.USER])
+        return max(rest, self.certain[Use.WORKER])
+
+
+def shares_of(limit: int, peers: int) -> Shares:
+    """Divide `limit` sockets of a controller with so many others."""
+    certain = {use: max(int(limit * ratio), least) for use, (ratio, least) in CERTAIN.items()}
+    certain[Use.MESH] = LINKS * (peers + 1)
+    ours = sum(certain[use] for use in (Use.STATE, Use.CLOUD, Use.ORDERS, Use.MESH)) + max(int(limit * SPARE), 4)
+    return Shares(limit, certain, max(limit - ours, 4))
+
+
+def plain(limit: int) -> Shares:
+    """All for whoever comes: for an end that serves one kind of caller."""
+    return Shares(limit, dict.fromkeys(Use, limit), limit)
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -10,14 +10,16 @@
 
 import msgspec
 
+from ashdock.admission.desk import Admission
+from ashdock.admission.shares import Use
 from ashdock.core.bounds import Bounds
 from ashdock.core.job import spec_of_record
 from ashdock.core.part import Owed, Part, Picture, Recalled
-from ashdock.front import Front
+from ashdock.front import Front, error, use_of
 from ashdock.leader import Leader
 from ashdock.net.budget import Demand, Turn
 from ashdock.net.cloud import CloudClient, CloudTrouble
-from ashdock.net.http import Server
+from ashdock.net.http import Answer, Server
 from ashdock.net.mesh import Mesh
 from ashdock.net.state import Conflict, HoldLost, Replica, StateClient, Unavailable
 from ashdock.net.worker import WorkerClient
@@ -46,9 +48,11 @@
         self.gather_s = self.tick_s / 16
         self.bounds = Bounds(self.shared.state)
         self.upgrade = Upgrade(self)
-        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared, self.bounds)
-        self.cloud = CloudClient(*address(settings.outside.cloud, "outside.cloud"), self.shared)
-        self.worker_client = WorkerClient(self.workers.lease_s / 5, 10 * self.workers.report_s)
+        self.admission = Admission(self.shared, len(settings.others))
+        places = self.admission.shares.certain
+        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared, self.bounds, places[Use.STATE])
+        self.cloud = CloudClient(*address(settings.outside.cloud, "outside.cloud"), self.shared, places[Use.CLOUD])
+        self.worker_client = WorkerClient(self.workers.lease_s / 5, 10 * self.workers.report_s, places[Use.ORDERS])
         peers = [(other.label, *address(other.endpoint, "others")) for other in settings.others]
         self.mesh = Mesh(self.label, peers, self._on_frame, beat_s=self.ttl_s / 5)
         self.machines = Replica(self.state, "machine/")
@@ -71,9 +75,7 @@
         self.last_report = self.started = time.monotonic()
         self.fit = True  # as our entry among the members says
         self.front = Front(self)
-        limit = self.shared.machine_limits.max_connections
-        # Sockets are shared with the mesh, the services and the workers we send orders to.
-        self.server = Server(self.front.handle, most=limit * 7 // 10, idle_s=60.0, slow_s=10.0)
+        self.server = Server(self.front.handle, self.admission.door, use_of, self._no_place)
         self.background: set[asyncio.Task[Any]] = set()
 
     def now(self) -> float:
@@ -88,7 +90,7 @@
         await self.server.start(*address(self.settings.bind, "bind"))
         await self.mesh.start(*address(self.settings.mesh_addr, "mesh_addr"))
         log.info("controller %s in %s listens on %s", self.label, self.settings.area, self.settings.bind)
-        loops = [self._membership, self._ownership, self._gossip, self._learn_catalog, self.upgrade.look]
+        loops = [self._membership, self._ownership, self._gossip, self._learn_catalog, self.upgrade.look, self._pace]
         tasks = [asyncio.create_task(replica.run()) for replica in (self.machines, self.parts, self.members, self.leaders, self.jobs)]
         tasks += [asyncio.create_task(self._forever(loop)) for loop in loops]
         try:
@@ -122,6 +124,20 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    async def _pace(self) -> float | None:
+        """How late a timer fires is how far we are behind."""
+        due = time.monotonic()
+        while True:
+            due += self.tick_s / 2
+            await asyncio.sleep(max(due - time.monotonic(), 0.0))
+            now = time.monotonic()
+            self.admission.tick(now - due, now)
+            due = max(due, now)
+
+    def _no_place(self) -> Answer:
+        refusal = self.admission.no_place(time.monotonic())
+        return error(refusal.status, refusal.why, refusal.retry_after)
+
     # -- how well we are connected ---------------------------------------------------------------------------
 
     def state_fresh(self) -> bool:
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -9,6 +9,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from ashdock.admission.desk import Refusal
+from ashdock.admission.shares import Use
 from ashdock.core.job import fitting, job_record, spec_of_record
 from ashdock.core.machine import capacity
 from ashdock.core.quota import can_ever
@@ -25,7 +27,6 @@
 log = logging.getLogger("ashdock.front")
 
 JOB = re.compile(r"^/v2/runs/([0-9A-Za-z_.-]{1,120})(/withdraw)?$")
-PATIENCE_S = 0.5  # a submission that would wait longer for its turn to be written is sent away instead
 ANSWER_S = 1.5  # a status is given up after this: its user waits 2 s
 FINALS = 20_000  # final answers kept at hand; the rest are read again
 RECORD_GROWS = 300  # bytes by which a record may come to be longer: a reason, and when it ended
@@ -46,6 +47,18 @@
     return Answer(status, messages.encode({"error": why}), retry_after)
 
 
+def refused(refusal: Refusal) -> Answer:
+    return error(refusal.status, refusal.why, refusal.retry_after)
+
+
+def use_of(target: str) -> Use:
+    """What a connection is for, by what is asked over it."""
+    path = target.partition("?")[0]
+    if path == "/checkin":
+        return Use.WORKER
+    return Use.PROBE if path in ("/ready", "/metrics") else Use.USER
+
+
 class Front:
     def __init__(self, controller: Controller) -> None:
         self.controller = controller
@@ -92,10 +105,10 @@
             return error(503, "the machine types are not known yet", 1)
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
-        behind = controller.state.writes.behind_s(Turn.USER)
-        if behind > PATIENCE_S:
-            # More than the state service lets us write: said at once, since the user would only wait here for nothing.
-            return error(429, "too many submissions at once", 1 + int(behind))
+        # More than we can write or compute: said at once, since the user would only wait here for nothing.
+        refusal_now = controller.admission.submission(controller.state.writes.behind_s(Turn.USER), time.monotonic())
+        if refusal_now:
+            return refused(refusal_now)
         now = controller.now()
         record = job_record(spec, round(now, 3))
         refusal: Answer | None = None
@@ -188,6 +201,9 @@
             return Answer(200, self._final(job_id, final))
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
+        behind = self.controller.admission.question(time.monotonic())
+        if behind:
+            return refused(behind)
         try:
             known = await self._bounded(self.questions.ask(job_id))
         except Busy:
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from ashdock.admission.processor import CHOOSING, pause_s
 from ashdock.again import walk
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.machine import images_of, trimmed
@@ -136,8 +137,7 @@
                     self._spawn(self._mark_all(machines, "returned"))
         if lend:
             self._spawn(self._assign(lend))
-        # At most a quarter of the processor goes into choosing, however many machines there are.
-        return max(controller.tick_s, 3 * (controller.now() - now))
+        return max(controller.tick_s, pause_s(controller.now() - now, CHOOSING))
 
     def _entry(self, name: str) -> Entry | None:
         return self.controller.machines.entries.get(f"machine/{name}")
--- a/ashdock/net/cloud.py
+++ b/ashdock/net/cloud.py
@@ -32,8 +32,8 @@
 
 
 class CloudClient:
-    def __init__(self, host: str, port: int, shared: Shared) -> None:
-        self.client = Client(host, port, keep=4)
+    def __init__(self, host: str, port: int, shared: Shared, most: int = 0) -> None:
+        self.client = Client(host, port, keep=4, most=most)
         # Mostly the leader alone calls; the rest of the limit is left to one that has not heard yet that it is none.
         self.budget = Budget(shared.cloud.rps * 0.8, burst_s=1.0)
         self.timeout = shared.workers.lease_s / 2
--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -12,6 +12,9 @@
 
 import h11
 
+from ashdock.admission.door import Door
+from ashdock.admission.shares import Use, plain
+
 log = logging.getLogger("ashdock.http")
 
 MOST_BODY = 64 * 1024
@@ -38,15 +41,33 @@
            500: b"Internal Server Error", 503: b"Service Unavailable"}  # fmt: skip
 
 
+def all_alike(target: str) -> Use:
+    return Use.USER
+
+
+def no_place() -> Answer:
+    return Answer(503, b'{"error":"no connection to spare"}', retry_after=1)
+
+
+def plain_door(most: int, idle_s: float = 60.0, slow_s: float = 10.0) -> Door:
+    """One that tells no callers apart."""
+    return Door(plain(most), idle_s, slow_s)
+
+
 class Server:
-    """Serves connections, of which no more than `most` stay open; what is slow or silent is closed."""
+    """Serves the connections that its door lets in; what is slow or silent is closed.
 
-    def __init__(self, handler: Handler, most: int, idle_s: float, slow_s: float) -> None:
+    `use_of` tells by a request's target what a connection is for; `refused` makes the answer to whom there is no place for.
+    """
+
+    def __init__(
+        self, handler: Handler, door: Door, use_of: Callable[[str], Use] = all_alike, refused: Callable[[], Answer] = no_place
+    ) -> None:
         self.handler = handler
-        self.most = most
-        self.idle_s = idle_s  # between requests
-        self.slow_s = slow_s  # for one whole request to arrive
-        self.open: dict[asyncio.StreamWriter, tuple[float, bool]] = {}
+        self.door = door
+        self.use_of = use_of
+        self.refused = refused
+        self.open: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -64,30 +85,33 @@
 
     async def _sweep(self) -> None:
         while True:
-            await asyncio.sleep(self.slow_s / 4)
-            now = time.monotonic()
-            for writer, (since, busy) in list(self.open.items()):
-                if now - since > (self.slow_s if busy else self.idle_s):
-                    writer.transport.abort()
+            await asyncio.sleep(self.door.slow_s / 4)
+            for writer in self.door.overdue(time.monotonic()):
+                writer.transport.abort()  # type: ignore[attr-defined]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.open) >= self.most:
+        arrival = self.door.arrive(writer, time.monotonic())
+        if not arrival.admitted:
             # Full: say so at once rather than let the connection hang.
-            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            answer = self.refused()
+            head = f"HTTP/1.1 {answer.status} {REASONS[answer.status].decode()}\r\nRetry-After: {answer.retry_after or 1}\r\n"
+            writer.write(head.encode() + b"Content-Length: 0\r\nConnection: close\r\n\r\n")
             writer.close()
             return
-        self.open[writer] = (time.monotonic(), True)
+        if arrival.instead is not None:
+            arrival.instead.transport.abort()  # type: ignore[attr-defined]
+        self.open.add(writer)
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         try:
             while await self._one(connection, reader, writer):
                 connection.start_next_cycle()
-                self.open[writer] = (time.monotonic(), False)
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
         except h11.ProtocolError as why:
             self._refuse(writer, str(why))
         finally:
-            self.open.pop(writer, None)
+            self.door.left(writer)
+            self.open.discard(writer)
             writer.close()
 
     async def _event(self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> h11.Event:
@@ -101,9 +125,7 @@
             if not data and connection.their_state in (h11.IDLE, h11.DONE):
                 raise EOFError
             connection.receive_data(data)
-            _, busy = self.open.get(writer, (time.monotonic(), False))
-            if not busy:
-                self.open[writer] = (time.monotonic(), True)
+            self.door.asks(writer, time.monotonic())
 
     async def _one(self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         request = await self._event(connection, reader, writer)
@@ -122,8 +144,14 @@
                 break
             else:
                 return False
-        answer = await self._answer(Request(request.method.decode("ascii"), request.target.decode("ascii"), bytes(body)))
-        self._send(connection, writer, answer, close=False)
+        target = request.target.decode("ascii")
+        if not self.door.told(writer, self.use_of(target)):
+            self._send(connection, writer, self.refused(), close=True)
+            await writer.drain()
+            return False
+        answer = await self._answer(Request(request.method.decode("ascii"), target, bytes(body)))
+        # Whose connections have outgrown their share is told to close it together with the answer: no request is on its way then.
+        self._send(connection, writer, answer, close=not self.door.answered(writer, time.monotonic()))
         await writer.drain()
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
@@ -169,22 +197,34 @@
 
 
 class Client:
-    """Requests to one address over a few kept connections."""
+    """Requests to one address over a few kept connections, of which there are `most` at any time (0: no bound).
 
-    def __init__(self, host: str, port: int, keep: int = 8, idle_s: float = 30.0) -> None:
+    What finds none free waits for one, within its own timeout; `first` does not wait, for what a lease hangs on.
+    """
+
+    def __init__(self, host: str, port: int, keep: int = 8, idle_s: float = 30.0, most: int = 0) -> None:
         self.host = host
         self.port = port
         self.keep = keep
+        self.places = asyncio.Semaphore(most) if most else None
+        self.under_way = 0
         self.idle_s = idle_s
         self.free: deque[_Link] = deque()
         self.last_used = time.monotonic()
 
-    async def request(self, method: str, target: str, body: bytes, timeout: float) -> tuple[int, bytes]:
+    @property
+    def sockets(self) -> int:
+        return self.under_way + len(self.free)
+
+    async def request(self, method: str, target: str, body: bytes, timeout: float, first: bool = False) -> tuple[int, bytes]:
         sent = [False]
         self.last_used = time.monotonic()
         try:
             async with asyncio.timeout(timeout):
-                return await self._request(method, target, body, sent)
+                if self.places is None or first:
+                    return await self._request(method, target, body, sent)
+                async with self.places:
+                    return await self._request(method, target, body, sent)
         except (OSError, EOFError, TimeoutError, h11.ProtocolError) as why:
             raise NoAnswer(str(why) or type(why).__name__, sent[0]) from None
 
@@ -196,6 +236,13 @@
         return _Link(reader, writer)
 
     async def _request(self, method: str, target: str, body: bytes, sent: list[bool]) -> tuple[int, bytes]:
+        self.under_way += 1
+        try:
+            return await self._over_a_link(method, target, body, sent)
+        finally:
+            self.under_way -= 1
+
+    async def _over_a_link(self, method: str, target: str, body: bytes, sent: list[bool]) -> tuple[int, bytes]:
         link: _Link | None = None
         while self.free and link is None:
             link = self.free.pop()
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -104,9 +104,9 @@
 
 
 class StateClient:
-    def __init__(self, host: str, port: int, shared: Shared, bounds: Bounds) -> None:
+    def __init__(self, host: str, port: int, shared: Shared, bounds: Bounds, most: int = 0) -> None:
         self.bounds = bounds
-        self.client = Client(host, port, keep=12)
+        self.client = Client(host, port, keep=12, most=max(most - 8, 4) if most else 0)  # less the watches
         self.watcher = Client(host, port, keep=8)
         self.size = shared.size
         # A tenth is left for what is in flight while the shares are told anew.
@@ -142,11 +142,17 @@
     def silent_for(self) -> float:
         return time.monotonic() - self.ok_at
 
-    async def _call(self, method: str, target: str, body: bytes = b"", timeout: float | None = None, watch: bool = False) -> tuple[int, bytes]:
+    @property
+    def sockets(self) -> int:
+        return self.client.sockets + self.watcher.sockets
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b"", timeout: float | None = None, watch: bool = False, first: bool = False
+    ) -> tuple[int, bytes]:
         started = time.monotonic()
         try:
             client = self.watcher if watch else self.client
-            status, answer = await client.request(method, target, body, timeout or self.timeout)
+            status, answer = await client.request(method, target, body, timeout or self.timeout, first=first)
         except NoAnswer as why:
             self._bad(str(why))
             raise Unavailable(str(why), why.sent) from None
@@ -240,14 +246,14 @@
 
     async def hold(self, ttl_ms: int) -> int:
         await self.requests.wait(1, Turn.USER)
-        status, answer = await self._call("POST", "/holds", msgspec.json.encode({"ttl_ms": ttl_ms}))
+        status, answer = await self._call("POST", "/holds", msgspec.json.encode({"ttl_ms": ttl_ms}), first=True)
         if status != 200:
             raise Unavailable(f"status {status}")
         return int(self._decode(_permit, answer).permit)
 
     async def renew(self, hold: int, timeout: float) -> None:
         self.requests.take(1)
-        status, _ = await self._call("POST", f"/holds/{hold}/renew", timeout=timeout)
+        status, _ = await self._call("POST", f"/holds/{hold}/renew", timeout=timeout, first=True)
         if status == 404:
             raise HoldLost
         if status != 200:
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from ashdock.admission.processor import pass_share, pause_s
 from ashdock.again import Overtaken, held
 from ashdock.core.machine import Machine
 from ashdock.core.part import Part
@@ -179,7 +180,7 @@
             part.schedule(now)
             # No more than its share of the processor goes into passes, however large the part.
             ended = self.controller.now()
-            self.pass_after = ended + 3 * (ended - now)
+            self.pass_after = ended + pause_s(ended - now, pass_share(len(self.controller.owners)))
         self.controller.tell_leader(part)
         await self._commit(part)
         self._send_urgent(part)
--- a/tests/simtime.py
+++ b/tests/simtime.py
@@ -63,6 +63,8 @@
         self.closed = False
         self.transport = _Transport(self)
         self.last = 0.0
+        net.sockets[here] = net.sockets.get(here, 0) + 1
+        net.most[here] = max(net.most.get(here, 0), net.sockets[here])
 
     def write(self, data: bytes) -> None:
         if not self.closed and data:
@@ -94,6 +96,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            self.net.sockets[self.here] -= 1
             self._deliver(lambda other: other.reader.feed_eof())
 
     def reset(self) -> None:
@@ -127,6 +130,10 @@
         self.ends: dict[str, list[End]] = {}
         self.cuts: set[frozenset[str]] = set()
         self.tasks: dict[str, dict[asyncio.Task[Any], None]] = {}  # in order, so that each run is alike
+        self.sockets: dict[str, int] = {}  # host: how many it holds
+        self.most: dict[str, int] = {}  # and at the most has held
+        self.limits: dict[str, int] = {}  # host: beyond which new connections fail
+        self.refused = 0
 
     def delay(self, a: str, b: str) -> float:
         return 0.001 + self.rng.random() * 0.002
@@ -148,11 +155,17 @@
         await asyncio.sleep(self.delay(here, host))
         if where not in self.servers:
             raise ConnectionRefusedError
+        if any(self.sockets.get(end, 0) >= self.limits.get(end, 1 << 30) for end in (here, host)):
+            self.refused += 1
+            raise ConnectionRefusedError
         _, serve = self.servers[where]
         near, far = End(self, here, host), End(self, host, here)
         near.other, far.other = far, near
-        self.ends.setdefault(here, []).append(near)
-        self.ends.setdefault(host, []).append(far)
+        for where_, end in ((here, near), (host, far)):
+            ends = self.ends.setdefault(where_, [])
+            ends.append(end)
+            if len(ends) > 64 and len(ends) > 2 * self.sockets[where_]:
+                self.ends[where_] = [one for one in ends if not one.closed]
         spawn(self, host, serve(far.reader, far))
         return near.reader, near
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,7 +8,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from ashdock.net.http import Answer, Client, NoAnswer, Request, Server
+from ashdock.net.http import Answer, Client, NoAnswer, Request, Server, plain_door
 from tests.rules import On, Rules
 from tests.simtime import Net, spawn
 
@@ -43,7 +43,7 @@
         self.hook: Any = None  # called with each transaction's writes before they are applied
 
     async def start(self) -> None:
-        self.server = Server(self.handle, 1000, 600.0, 600.0)
+        self.server = Server(self.handle, plain_door(1000, 600.0, 600.0))
         await self.server.start(STATE, 2379)
         asyncio.create_task(self._expire())
 
@@ -197,13 +197,14 @@
         self.dead = False
         self.change = asyncio.Event()
         self.images: set[str] = set()
+        self.clients: dict[str, Client] = {}
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
     async def run(self) -> None:
         self.renewed = self.now()
-        await Server(self.handle, 50, 600.0, 600.0).start(self.host, 9000)
+        await Server(self.handle, plain_door(50, 600.0, 600.0)).start(self.host, 9000)
         spawn(self.world.net, self.host, self._lease())
         nodes = list(self.world.nodes)
         at = self.world.rng.randrange(len(nodes))
@@ -249,7 +250,9 @@
     async def _report(self, node: str) -> float | str:
         """0 to stay, a pause before the next node, or the node to go to."""
         sent, tenure = self.now(), self.tenure
-        client = Client(self.world.nodes[node], 8080, keep=0)
+        client = self.clients.setdefault(node, Client(self.world.nodes[node], 8080, keep=self.world.keep))
+        for other in [name for name in self.clients if name != node]:
+            self.clients.pop(other).close()
         try:
             status, body = await client.request("POST", "/checkin", json.dumps(self.message()).encode(), 4.0)
         except NoAnswer:
@@ -389,13 +392,14 @@
         self.waiting: dict[tuple[str, int], int] = {}
         self.gangs: dict[tuple[str, int], list[tuple[Worker, str]]] = {}  # they complete jointly
         self.number = 0
+        self.keep = 0  # connections to a controller that a worker keeps between its reports
         self.down = False
         self.lag = 0.0  # how old the machine lists are that it gives
         self.lists: list[tuple[float, list[dict[str, Any]]]] = []
         self.born: dict[str, float] = {}
 
     async def start(self) -> None:
-        await Server(self.handle, 1000, 600.0, 600.0).start(CLOUD, 8443)
+        await Server(self.handle, plain_door(1000, 600.0, 600.0)).start(CLOUD, 8443)
 
     def boot(self, zone: str, spot: bool, after: float) -> str:
         name = f"vm-{self.number:06d}"
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,282 @@
+"""Who gets what when sockets, the processor or writes run short: as tables, and with whole controllers held to few sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from typing import Any
+
+import pytest
+
+from ashdock.admission.desk import Admission, Short
+from ashdock.admission.door import ConnectionPhase, Door
+from ashdock.admission.processor import Processor, pass_share, pause_s
+from ashdock.admission.shares import Use, shares_of
+from ashdock.front import use_of
+from ashdock.net.http import Answer, Client, NoAnswer, Request, Server
+from ashdock.net.worker import WorkerClient
+from tests import simtime
+from tests.whole import Service, job, shared
+
+
+@pytest.mark.parametrize("limit", [16, 64, 400, 1200, 1937, 20_000])
+@pytest.mark.parametrize("peers", [0, 2, 8])
+def test_shares_stay_within_the_limit(limit: int, peers: int) -> None:
+    shares = shares_of(limit, peers)
+    if limit >= 400:
+        ours = sum(shares.certain[use] for use in (Use.MESH, Use.STATE, Use.CLOUD, Use.ORDERS))
+        assert shares.inbound + ours < limit
+        inbound = (Use.NEW, Use.USER, Use.PROBE, Use.WORKER)
+        assert sum(shares.certain[use] for use in inbound) <= shares.inbound
+    assert shares.users_most() >= 2 and shares.workers_most(10**6) == shares.certain[Use.WORKER]
+
+
+def filled(door: Door, **counts: int) -> dict[Use, list[str]]:
+    """So many waiting connections of each use, the first the oldest."""
+    out: dict[Use, list[str]] = {}
+    for label, number in counts.items():
+        use = Use(label)
+        for n in range(number):
+            key = f"{label}{n}"
+            assert door.arrive(key, n * 0.001).admitted
+            if use is not Use.NEW:
+                assert door.told(key, use)
+                door.answered(key, n * 0.001)
+            out.setdefault(use, []).append(key)
+    return out
+
+
+def limited(inbound: int) -> Door:
+    """Of so many places 1/4 each for users and workers, 1/16 for those who have not said."""
+    shares = shares_of(400, 2)._replace(inbound=inbound)
+    for use, ratio in {Use.NEW: 16, Use.USER: 4, Use.WORKER: 4, Use.PROBE: 64}.items():
+        shares.certain[use] = max(inbound // ratio, 1)
+    return Door(shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5)
+
+
+KEEPS = [  # (users, workers there already) -> whether a worker's and a user's connection stay open after their answer
+    (0, 10, True, True), (10, 40, True, True), (10, 68, False, True), (24, 68, False, True),
+    (40, 50, True, True), (40, 60, False, True), (65, 30, False, False),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("users", "workers", "worker_keeps", "user_keeps"), KEEPS)
+def test_workers_give_way_before_users(users: int, workers: int, worker_keeps: bool, user_keeps: bool) -> None:
+    door = limited(100)
+    filled(door, users=users, workers=workers)
+    door.arrive("w", 1.0)
+    assert door.told("w", Use.WORKER) and door.answered("w", 1.0) is worker_keeps
+    door.left("w")
+    door.arrive("u", 1.0)
+    assert door.told("u", Use.USER) and door.answered("u", 1.0) is user_keeps
+
+
+def test_when_all_places_are_taken_the_oldest_idle_worker_goes() -> None:
+    door = limited(100)
+    keys = filled(door, users=20, workers=78)[Use.WORKER]
+    door.asks(keys[0], 2.0)  # the oldest is at it: its report is not thrown away
+    for n in range(2):
+        assert door.arrive(f"late{n}", 2.0) == (True, None)
+    assert [door.arrive(f"later{n}", 2.0).instead for n in range(2)] == [keys[1], keys[2]]
+    door.left(keys[1])  # its socket tells its own end afterwards
+    assert len(door) == 100
+    # Nobody is thrown out for one that has not said what it wants once workers are down to what is certain.
+    door = limited(100)
+    filled(door, users=68, workers=25, new=7)
+    assert not door.arrive("more", 2.0).admitted and door.ended[Use.NEW, "refused"] == 1
+
+
+def test_users_are_refused_only_beyond_all_that_workers_can_spare() -> None:
+    door = limited(100)
+    keys = filled(door, users=door.shares.users_most())[Use.USER]
+    door.arrive("one", 1.0)
+    assert not door.told("one", Use.USER)
+    door.left("one")
+    door.left(keys[0])
+    door.arrive("two", 1.0)
+    assert door.told("two", Use.USER)
+    assert not door.told("never came", Use.USER) and not door.answered("never came", 1.0)
+
+
+OVERDUE = [  # (use, phase, age, places short) -> ended
+    ("users", ConnectionPhase.WAITING, 30.0, True, False), ("users", ConnectionPhase.WAITING, 61.0, False, True),
+    ("users", ConnectionPhase.ASKING, 11.0, False, True), ("users", ConnectionPhase.ASKING, 9.0, False, False),
+    ("workers", ConnectionPhase.WAITING, 3.0, False, False), ("workers", ConnectionPhase.WAITING, 3.0, True, True),
+    ("workers", ConnectionPhase.WAITING, 2.0, True, False), ("workers", ConnectionPhase.ASKING, 3.0, True, False),
+    ("new", ConnectionPhase.ASKING, 11.0, False, True),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("label", "phase", "age", "short", "ended"), OVERDUE)
+def test_overdue(label: str, phase: ConnectionPhase, age: float, short: bool, ended: bool) -> None:
+    door = limited(100)
+    filled(door, **{label: 1})
+    if phase is ConnectionPhase.ASKING:
+        door.asks(f"{label}0", 0.0)
+    if short:
+        for n in range(door.shares.workers_most(0)):
+            door.arrive(n, 100.0)
+            door.told(n, Use.WORKER)
+            door.answered(n, 100.0)
+    assert (f"{label}0" in door.overdue(age)) is ended
+    assert (f"{label}0" in door.use) is not ended
+
+
+def test_what_comes_in_drop_by_drop_is_slow_all_the_same() -> None:
+    door = limited(100)
+    door.arrive("drops", 0.0)
+    for n in range(11):
+        door.asks("drops", float(n))
+    assert door.overdue(10.5) == ["drops"]
+
+
+def test_the_processor_is_as_late_as_its_worst_moment_of_late() -> None:
+    processor = Processor(2.0)
+    processor.ticked(4.0, 10.0)
+    processor.ticked(0.1, 12.0)
+    assert processor.late_s(12.0) == pytest.approx(2.0) and processor.late_s(16.0) == pytest.approx(0.5)
+    assert pause_s(0.1, 1 / 4) == pytest.approx(0.3)
+    assert all(n * pass_share(n) <= 1 / 2 and pass_share(n) <= 1 / 4 for n in range(1, 9))
+
+
+REFUSALS = [  # (seconds late, seconds of writes in line) -> status of a question and of a submission, when to return
+    (0.0, 0.0, None, None), (0.6, 0.0, (429, 1), None), (1.3, 0.0, (429, 2), (429, 2)), (0.0, 0.6, None, (429, 1)),
+    (0.0, 3.2, None, (429, 4)),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("late", "line", "question", "submission"), REFUSALS)
+def test_questions_give_way_before_submissions(late: float, line: float, question: Any, submission: Any) -> None:
+    desk = Admission(shared(), 2)
+    desk.tick(late, 10.0)
+    asked, submitted = desk.question(10.0), desk.submission(line, 10.0)
+    assert (asked and (asked.status, asked.retry_after)) == question
+    assert (submitted and (submitted.status, submitted.retry_after)) == submission
+
+
+def test_a_shortage_is_told_once_when_it_begins_and_once_when_it_is_over(caplog: pytest.LogCaptureFixture) -> None:
+    desk = Admission(shared(), 2)
+    with caplog.at_level(logging.INFO, "ashdock.admission"):
+        for n in range(50):
+            assert desk.submission(2.0, 10.0 + n / 10)
+            desk.tick(0.0, 10.0 + n / 10)
+        for n in range(50):
+            desk.tick(0.0, 15.0 + n / 10)
+    said = [record.getMessage() for record in caplog.records]
+    assert len(said) == 2 and said[0].startswith("short of writes") and "50 were told" in said[1]
+    assert desk.refused["submission", Short.WRITES] == 50
+
+
+@pytest.mark.parametrize(
+    ("target", "use"),
+    [("/checkin", Use.WORKER), ("/ready", Use.PROBE), ("/metrics?x=1", Use.PROBE), ("/v2/runs", Use.USER), ("/nonsense", Use.USER)],
+)
+def test_use_of(target: str, use: Use) -> None:
+    assert use_of(target) is use
+
+
+def test_orders_beyond_their_places_go_with_the_next_report(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Starts that a silent machine lets hang hold a socket each; idle connections to workers go first."""
+
+    async def main(net: simtime.Net) -> None:
+        async def handle(request: Request) -> Answer:
+            return Answer(200, b"{}")
+
+        async def hangs(request: Request) -> Answer:
+            await asyncio.sleep(1e6)
+            return Answer(200)
+
+        for n in range(6):
+            await Server(hangs if n > 3 else handle, limited(100)).start(f"10.1.0.{n}", 9000)
+        client = WorkerClient(timeout=4.0, idle_s=30.0, most=2)
+        for n in range(4):
+            await client.orders(f"10.1.0.{n}:9000", 1, 1, [])
+            assert client.sockets <= 2
+        hanging = [asyncio.create_task(client.orders(f"10.1.0.{n}:9000", 1, 1, [])) for n in (4, 5)]
+        await asyncio.sleep(0.1)
+        with pytest.raises(NoAnswer) as why:
+            await client.orders("10.1.0.0:9000", 1, 1, [])
+        assert not why.value.sent and client.refused == 1 and client.sockets == 2
+        await asyncio.gather(*hanging, return_exceptions=True)
+        await client.orders("10.1.0.0:9000", 1, 1, [])
+
+    simtime.run(main, 1, monkeypatch)
+
+
+def test_a_lease_is_renewed_past_those_that_wait_for_a_place(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main(net: simtime.Net) -> None:
+        async def handle(request: Request) -> Answer:
+            await asyncio.sleep(0.0 if request.target == "/renew" else 3.0)
+            return Answer(200, b"{}")
+
+        await Server(handle, limited(100)).start("10.2.0.1", 2379)
+        client = Client("10.2.0.1", 2379, most=4)
+        asked = [asyncio.create_task(client.request("GET", "/slow", b"", 4.0)) for _ in range(8)]
+        await asyncio.sleep(0.1)
+        assert client.sockets == 4
+        assert (await client.request("POST", "/renew", b"", 1.0, first=True))[0] == 200
+        ended = await asyncio.gather(*asked, return_exceptions=True)
+        late = [one for one in ended if isinstance(one, NoAnswer)]
+        assert (len(late) == 4 and not any(one.sent for one in late if str(one) == "TimeoutError")) or late
+
+    simtime.run(main, 1, monkeypatch)
+
+
+def test_with_few_sockets_no_lease_ends_and_users_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Workers that keep their connections open took every place: users found no controller, and reports came too late to keep
+    the leases. Forty workers, and of three controllers two are down: thirty-odd places are left for all."""
+
+    async def main(net: simtime.Net) -> None:
+        service = Service(net, machines=40, capacity=40)
+        for n in range(3):
+            net.limits[f"10.0.0.{n}"] = 64
+        service.limit = 64
+        service.world.keep = 1  # workers that keep their connection
+        await service.start()
+        await service.submit(job(1, shares=24, expect_s=60.0))
+        await service.submit(job(2, owner="blue", shares=16, expect_s=60.0))
+        await asyncio.sleep(15)
+        for n in (1, 2):
+            net.kill(f"10.0.0.{n}")
+            service.controllers.pop(n)
+        late, ready = 0, 0
+        for _ in range(60):
+            at = service.now()
+            status, _ = await Client("10.0.0.0", 8080, keep=0).request("GET", "/v2/runs/req-000001", b"", 2.0)
+            late += service.now() - at > 1.0 or status not in (200, 503)
+            ready += (await Client("10.0.0.0", 8080, keep=0).request("GET", "/ready", b"", 1.0))[0] == 200
+            await asyncio.sleep(0.5)
+        assert late == 0 and ready >= 55
+        assert all(worker.tenure == 1 for worker in service.world.workers.values())
+        assert net.most["10.0.0.0"] <= 64 and net.refused == 0
+        page = (await Client("10.0.0.0", 8080, keep=0).request("GET", "/metrics", b"", 2.0))[1].decode()
+        assert 'ashdock_sockets{use="workers"}' in page and "ashdock_connections_ended_total" in page
+        assert not await service.until_final(["req-000001", "req-000002"], 120)
+        assert not service.rules.broken
+
+    simtime.run(main, 41, monkeypatch)
+
+
+def test_a_flood_of_connections_leaves_places_for_the_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Somebody opens connections and says nothing: those who do are answered, and the silent ones are ended in time."""
+
+    async def main(net: simtime.Net) -> None:
+        service = Service(net)
+        service.limit = 64
+        await service.start()
+        await asyncio.sleep(5)
+        silent = [await net.open_connection("10.0.0.0", 8080) for _ in range(200)]
+        await asyncio.sleep(0.1)
+        assert len(service.controllers[0].server.open) <= service.controllers[0].admission.shares.inbound
+        status, body = await Client("10.0.0.0", 8080, keep=0).request("GET", "/ready", b"", 1.0)
+        assert status == 503 and not body  # said at once, not left hanging
+        await asyncio.sleep(3)
+        for _ in range(40):  # those that have said nothing for a while make place for those who do
+            assert (await Client("10.0.0.0", 8080, keep=0).request("GET", "/ready", b"", 1.0))[0] == 200
+            await asyncio.sleep(0.3)
+        assert all(reader._eof for reader, _ in silent)  # type: ignore[attr-defined]
+        raw = json.dumps({}).encode()
+        assert (await Client("10.0.0.0", 8080, keep=0).request("POST", "/v2/runs", raw, 1.0))[0] == 400
+
+    simtime.run(main, 42, monkeypatch)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -20,11 +20,11 @@
 def refuse(controller: Controller) -> None:
     """The state service answers this controller alone with 503, and its open watches wait."""
 
-    async def refused(*_: Any) -> tuple[int, bytes]:
+    async def refused(*_: Any, **__: Any) -> tuple[int, bytes]:
         await asyncio.sleep(0.003)
         return 503, b"{}"
 
-    async def waits(*_: Any) -> tuple[int, bytes]:
+    async def waits(*_: Any, **__: Any) -> tuple[int, bytes]:
         await asyncio.sleep(1e6)
         return 503, b"{}"
 
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -326,6 +326,9 @@
         other = next(n for n, c in service.controllers.items() if c.label != owner)
         worker = next(w for w in service.world.workers.values() if w.shares)
         client = Client(f"10.0.0.{other}", 8080, keep=0)
+        front = service.controllers[other].front
+        front.redirected.clear()  # it may have come by there by itself a moment ago, and have been passed on
+        front.relaying.clear()
         for warrant, expected in [(0, 421), (worker.token, 200)]:
             worker.tally += 1
             status, answer = await client.request("POST", "/checkin", json.dumps(worker.message() | {"warrant": warrant}).encode(), 4.0)
--- a/tests/whole.py
+++ b/tests/whole.py
@@ -70,6 +70,7 @@
         self.machines = machines
         self.controllers: dict[int, Controller] = {}
         self.answers: dict[str, dict[str, Any]] = {}
+        self.limit = 400  # sockets of a controller
 
     async def start(self) -> None:
         spawn(self.net, STATE, self.state.start())
@@ -90,7 +91,9 @@
         return asyncio.get_running_loop().time()
 
     def boot(self, n: int) -> None:
-        controller = Controller(settings(n, self.later), random.Random(self.rng.random()))
+        told = settings(n, self.later)
+        told.settings.machine_limits.max_connections = self.limit
+        controller = Controller(told, random.Random(self.rng.random()))
         self.controllers[n] = controller
         spawn(self.net, f"10.0.0.{n}", controller.run())
 
