--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -14,7 +14,8 @@
 from ashdock.admission.shares import Use
 from ashdock.core.bounds import Bounds
 from ashdock.core.job import spec_of_record
-from ashdock.core.part import Owed, Part, Picture, Recalled
+from ashdock.core.part import Part
+from ashdock.core.telling import Owed, Picture, Recalled
 from ashdock.front import Front, error, use_of
 from ashdock.leader import Leader
 from ashdock.net.budget import Demand, Turn
@@ -362,7 +363,7 @@
 
     def _job_news(self, part: Part, job_id: str, value: Any, stamp: int) -> None:
         if job_id not in part.jobs and not self.front.is_final(job_id):
-            part.came(part.add_job(value, stamp), self.now())
+            part.telling.came(part.add_job(value, stamp), self.now())
 
     # -- the mesh ------------------------------------------------------------------------------------------------------------
 
@@ -378,9 +379,9 @@
         counts: list[tuple[str, int, int]] = []
         for owner in self.owners.values():
             if owner.phase is OwnerPhase.ACTIVE and owner.part:
-                counts += owner.part.counts()
+                counts += owner.part.telling.counts()
                 if leader and leader != self.label:
-                    self.mesh.send(leader, owner.part.picture(self.now()))
+                    self.mesh.send(leader, owner.part.telling.picture(self.now()))
         self._tell_ahead()
         # As many frames as they need; each other controller keeps what it was told of jobs that still count.
         for at in range(0, len(counts), COUNTS_AT_ONCE):
@@ -439,7 +440,7 @@
         if part.wants and not part.wanted_before:
             leader = self.leader_label()
             if leader and leader != self.label:
-                self.mesh.send(leader, part.picture(self.now()))
+                self.mesh.send(leader, part.telling.picture(self.now()))
         part.wanted_before = bool(part.wants)
 
     def pictures(self) -> dict[str, Picture]:
@@ -447,7 +448,7 @@
         out = {team: picture for team, (at, picture) in self.remote_pictures.items() if now - at < self.ttl_s}
         for team, owner in self.owners.items():
             if owner.phase is OwnerPhase.ACTIVE and owner.part:
-                out[team] = owner.part.picture(self.now())
+                out[team] = owner.part.telling.picture(self.now())
         return out
 
     def to_owner(self, team: str, frame: Yield | Recalled | Give | Owed) -> None:
@@ -463,14 +464,14 @@
         if owner is None:
             return
         if isinstance(frame, Yield):
-            owner.note(lambda part: part.yield_machine(frame.machine, frame.to, self.now()))
+            owner.note(lambda part: part.telling.yield_machine(frame.machine, frame.to, self.now()))
         elif isinstance(frame, Owed):
-            owner.note(lambda part: part.owe(frame, self.now()))
+            owner.note(lambda part: part.telling.owe(frame, self.now()))
         elif isinstance(frame, Give):
             owner.give_to = frame.to
             owner.wake.set()
         else:
-            owner.note(lambda part: part.recall(frame, self.now()))
+            owner.note(lambda part: part.telling.recall(frame, self.now()))
 
     def _on_frame(self, label: str, frame: Frame) -> None:
         match frame:
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from ashdock.core.machine import capacity
-from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
 from ashdock.core.placement import Barren, Slots
+from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
 
--- a/ashdock/core/ledger.py
+++ b/ashdock/core/ledger.py
@@ -10,17 +10,18 @@
 import math
 from collections.abc import Callable
 from itertools import islice
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import msgspec
 
+from ashdock.core.bounds import Bounds
 from ashdock.core.job import Chunk, Job, JobPhase, fitting
 from ashdock.core.machine import Machine, MachinePhase, trimmed
+from ashdock.core.park import Parks
+from ashdock.core.pipelines import Pipelines
 from ashdock.core.quota import guaranteed
-from ashdock.core.task import Phase
-
-if TYPE_CHECKING:
-    from ashdock.core.part import Part
+from ashdock.core.task import Phase, Placement
+from ashdock.settings import Shared, Team
 
 log = logging.getLogger("ashdock.part")
 
@@ -44,8 +45,35 @@
         self.writes[path] = value
 
 
+class Written(Protocol):
+    """What of a part is written, and the changes that follow once it is durable, or where somebody else has written."""
+
+    name: str
+    team: Team
+    stamp: int
+    clock: float
+    shared: Shared
+    bounds: Bounds
+    chunk_tasks: int
+    jobs: dict[str, Job]
+    machines: dict[str, Machine]
+    parks: Parks
+    pipelines: Pipelines
+    urgent: dict[str, None]
+
+    def token(self, machine: Machine) -> int: ...
+
+    def drop(self, placement: Placement, now: float) -> None: ...
+
+    def cancel(self, job_id: str, at: float, stamp: int, now: float) -> None: ...
+
+    def machine_gone(self, name: str, now: float) -> None: ...
+
+    def add_machine(self, name: str, value: dict[str, Any], stamp: int, now: float) -> None: ...
+
+
 class Ledger:
-    def __init__(self, part: Part) -> None:
+    def __init__(self, part: Written) -> None:
         self.part = part
         self.touched: dict[str, Job] = {}  # jobs with something to write: a transaction must not look at all of them
         self.changing: dict[str, None] = {}  # machines whose record may have to be written
--- /dev/null
+++ b/ashdock/core/passes.py
@@ -0,0 +1,321 @@
+"""Ranking and passes: who goes first, what is placed, what is kept or stopped for whom, and what is lacking."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Iterable
+from typing import Protocol
+
+from ashdock.core import placement as placing
+from ashdock.core.estimates import Estimates
+from ashdock.core.job import Job
+from ashdock.core.losses import loss
+from ashdock.core.machine import Machine, MachinePhase
+from ashdock.core.quota import Usage, guaranteed
+from ashdock.core.task import Phase, Placement
+from ashdock.core.telling import Telling, Want
+from ashdock.core.worth import Worth
+from ashdock.settings import Shared, Team, Workers
+from ashdock.wire.messages import MachineType, Spec
+
+log = logging.getLogger("ashdock.part")
+
+FETCHES_AHEAD = 4  # how many fetches longer a job may have waited that is overtaken by one whose image is at hand
+MOST_WANTS = 100  # told to the leader at a time, the first in rank: once those are served the next are told
+
+
+class Placed(Protocol):
+    """What of a part a pass looks at, and the changes of state that it may make."""
+
+    team: Team
+    shared: Shared
+    workers: Workers
+    catalog: dict[str, MachineType]
+    jobs: dict[str, Job]
+    machines: dict[str, Machine]
+    usage: Usage
+    worth: Worth
+    strange: dict[str, set[str]]
+    wants: list[Want]
+    reserved: set[str]
+    seen: int
+    looked: int
+    stale: bool
+
+    def place(self, job: Job, task: int, machine: Machine, attempt: int, now: float) -> None: ...
+
+    def preempt(self, job: Job, tasks: list[int], why: str, now: float) -> None: ...
+
+    def zone_of(self, machine: str) -> str: ...
+
+
+class _Pass:
+    """What one scheduling pass looks at, gathered once: machines with room, room to come, and what found none."""
+
+    def __init__(self, machines: Iterable[Machine], now: float) -> None:
+        self.open: list[Machine] = []
+        self.coming = placing.Slots()
+        self.barren = placing.Barren()
+        self.images: dict[str, dict[str, int]] = {}  # by image and zone: machines with room that hold it
+        for machine in machines:
+            if machine.phase is MachinePhase.UP:
+                if machine.cpus > 1e-6 and machine.memory > 1e-6 and machine.usable:
+                    self.open.append(machine)
+                    for image in machine.images:
+                        zones = self.images.setdefault(image, {})
+                        zones[machine.zone] = zones.get(machine.zone, 0) + 1
+            elif machine.coming(now):
+                self.coming.add(machine.shape, machine.zone, machine.spot)
+
+    def holders(self, spec: Spec, number: int) -> bool:
+        """Whether so many machines with room hold the image, in one zone where the job is to be in one."""
+        zones = self.images.get(spec.image)
+        if not zones:
+            return False
+        return (max(zones.values()) if spec.one_zone else sum(zones.values())) >= number
+
+
+class Passes:
+    def __init__(self, part: Placed, estimates: Estimates, telling: Telling) -> None:
+        self.part = part
+        self.estimates = estimates
+        self.telling = telling
+        self.aims: dict[str, list[float]] = {}  # by class: within what times its jobs are to start
+
+    def waiting(self, now: float, look: _Pass | None = None) -> list[Job]:
+        out = [
+            job
+            for job in self.part.jobs.values()
+            if job.active and job.ready and not job.waits and not job.breaking and job.id not in self.part.strange
+            and (job.spec.kind != "gang" or job.ready == job.spec.tasks)
+        ]  # fmt: skip
+        out.sort(key=lambda job: self._rank(job, now, look))
+        return out
+
+    def slack(self, job: Job, now: float) -> float:
+        """Seconds until the job had better be running."""
+        spec = job.spec
+        if math.isinf(job.due):
+            return job.since + self.aim_s(spec) - now
+        return job.due - self.estimates.run_s(spec) - now
+
+    def pressed(self, job: Job, now: float) -> bool:
+        """Whether lower work is to be stopped for it. Not for a priority that is only carried back to it, as long as it can
+        wait for a boot, or once it is too late to help what comes after. Steps of pipelines stopped whole gangs, and each
+        other's tasks that save nothing, for places that came free a few seconds later (hunted day: 3425 tasks lost)."""
+        if job.priority <= job.spec.priority:
+            return True
+        boot_s = max((shape.boot_s for shape in self.part.catalog.values()), default=self.part.workers.lease_s)
+        return (job.submitted - job.due) / 2 < self.slack(job, now) < boot_s
+
+    def aim_s(self, spec: Spec) -> float:
+        aims = [o.within_s for o in self.part.shared.objectives if o.kind == "wait" and o.job_class == spec.job_class]
+        aims += [o.within_s for o in self.part.shared.objectives if o.kind == "guarantee"]
+        return min((aim for aim in aims if aim is not None), default=self.part.workers.lease_s)
+
+    def _rank(self, job: Job, now: float, look: _Pass | None = None) -> tuple[float, ...]:
+        """Priority; then what can still be in time, then what can be in time for the later aim, then the rest.
+        Among deadlines the least work comes first: when not all can be met, that way the most are. What is
+        long overdue comes first again, so that nothing starves. What would find its image on the machines that are
+        free goes ahead of what has waited a few fetches longer: where machines are short, fetching wastes them."""
+        spec = job.spec
+        if job.doubtful:
+            return (-job.priority, 9.0, job.since)
+        if spec.kind == "array" and math.isinf(job.due):
+            return (-job.priority, *self.part.worth.rank(job, self.estimates.run_s(spec), now), job.since)
+        if math.isinf(job.due):
+            ahead = 0.0
+            if look is not None and look.holders(spec, spec.tasks if spec.kind == "gang" else 1):
+                ahead = FETCHES_AHEAD * placing.image_s(spec, next(iter(self.part.catalog.values())))
+            turn, size = self._turn(job, now)
+            return (-job.priority, turn, size, job.since - now - ahead)
+        deadline_s = max(job.due - job.submitted, 1e-3)
+        late = now + self.estimates.run_s(spec) * (1 - self.grace) - job.submitted
+        times = sorted(o.times for o in self.part.shared.objectives if o.kind == "deadline" and o.job_class == spec.job_class and o.times)
+        rank = float(sum(1 for factor in times or [1.0] if late > deadline_s * factor))
+        if late > deadline_s * 4:
+            rank = 0.0
+        return (-job.priority, rank, (spec.tasks - job.done) * self.estimates.run_s(spec) * max(spec.gpus, 1.0))
+
+    def _turn(self, job: Job, now: float) -> tuple[float, float]:
+        """When not all can start in time, the most do if the small go first while they are in time for the first
+        aim. Before the last aim passes the large have their turn; what is late for all goes last, but not for ever."""
+        aims = self._wait_aims(job.spec.job_class)
+        if not aims:
+            return 0.0, 0.0
+        first, last, age = aims[0], aims[-1], now - job.since
+        if last * 0.6 < age <= last or age > 3 * last:
+            return 0.0, 0.0
+        if age <= first:
+            return 1.0, job.spec.tasks * max(job.spec.gpus, 1.0)
+        return (2.0, 0.0) if age <= last else (3.0, 0.0)
+
+    def _wait_aims(self, job_class: str) -> list[float]:
+        if job_class not in self.aims:
+            within = [o.within_s for o in self.part.shared.objectives if o.kind == "wait" and o.job_class == job_class]
+            self.aims[job_class] = sorted(aim for aim in within if aim)
+        return self.aims[job_class]
+
+    grace = 0.25  # estimates are often wrong: a job is late for sure only with this share of its run time to spare
+
+    def schedule(self, now: float) -> None:
+        """One pass: place what fits, keep and make room for what does not, and tell what is lacking."""
+        self.part.stale = False
+        self.part.looked = self.part.seen
+        short: list[tuple[Job, int, str]] = []
+        self.part.reserved = set()
+        if self.telling.owed:
+            self.telling.pass_on(now)
+        look = _Pass(self.part.machines.values(), now)
+        for job in self.waiting(now, look):
+            missing = self._try_place(job, look, now)
+            if job.doubtful:
+                continue  # tried where there is room: nothing is stopped, kept or rented for it alone
+            zone = ""
+            if missing and job.spec.kind == "gang" and job.spec.tasks > 1:
+                zone, kept = self._keep_for_gang(job, look)
+                missing -= kept
+            if now - job.preempted_at < self.part.workers.lease_s / 2:
+                missing -= job.cleared  # room is being made already
+            if missing > 0:
+                short.append((job, missing, zone))
+        lowest = min((self.part.jobs[p.job].priority for p in self._some_live()), default=0)
+        lower: dict[int, list[tuple[Machine, list[Placement]]]] = {}
+        for job, missing, zone in short:
+            # Nothing of lower priority runs, mostly: then there is nothing to look at.
+            if job.priority > lowest and now - job.preempted_at >= self.part.workers.lease_s and self.pressed(job, now):
+                if job.priority not in lower:
+                    lower[job.priority] = self._lower_work(job.priority)
+                self._make_room(job, missing, zone, lower[job.priority], now)
+        self.part.wants = self._net_wants(short, look, now)
+
+    def _some_live(self) -> Iterable[Placement]:
+        """One placement of each job that has any: they share the job's priority."""
+        return (next(iter(job.live.values())) for job in self.part.jobs.values() if job.live)
+
+    def _try_place(self, job: Job, look: _Pass, now: float) -> int:
+        """Place what fits; the number of tasks that want room and found none."""
+        spec = job.spec
+        permitted = min(self.part.usage.room(spec), job.ready)
+        if job.doubtful and spec.kind != "gang":
+            permitted = min(permitted, 1 - len(job.live))  # one task at a time tells as much as all
+        if (spec.kind == "gang" and permitted < spec.tasks) or permitted <= 0:
+            return 0
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+        anywhere = (tuple(spec.types or ()), spec.zone, spec.spot)
+        together = (*anywhere, spec.one_zone, spec.spread)
+        if look.barren.holds(anywhere, need, 1) or (spec.kind == "gang" and look.barren.holds(together, need, spec.tasks)):
+            return permitted
+        free = [machine for machine in look.open if machine.name not in self.part.reserved]
+        options = placing.choices(job, free, now)
+        picked = placing.select(job, options, permitted, self.part.zone_of)
+        if not options:
+            look.barren.note(anywhere, need, 1)
+        elif not picked and spec.kind == "gang":
+            look.barren.note(together, need, spec.tasks)
+        if picked:
+            tasks = job.ready_tasks(len(picked))
+            attempt = job.attempt_for(0)
+            for task, machine in zip(tasks, picked, strict=True):
+                self.part.place(job, task, machine, attempt if spec.kind == "gang" else job.attempt_for(task), now)
+            log.info("job %s: %d tasks placed on %s", job.id, len(picked), ",".join(sorted({m.name for m in picked})))
+        return permitted - len(picked)
+
+    def _lower_work(self, priority: int) -> list[tuple[Machine, list[Placement]]]:
+        """Machines with work below a priority, and that work; none where something is being stopped already."""
+        out = []
+        for machine in self.part.machines.values():
+            if not machine.usable or not machine.live or machine.name in self.part.reserved:
+                continue
+            lower = [p for p in machine.live.values() if self.part.jobs[p.job].priority < priority]
+            if lower and not any(p.phase is Phase.STOPPING for p in machine.live.values()):
+                out.append((machine, lower))
+        return out
+
+    def _make_room(self, job: Job, missing: int, zone: str, candidates: list[tuple[Machine, list[Placement]]], now: float) -> None:
+        """Stop work of lower priority of this team for it, once per lease at most for any one job."""
+        spec = job.spec
+        victims: list[tuple[float, Machine]] = []
+        for machine, lower in candidates:
+            if not placing.permits(spec, machine.type, machine.zone, machine.spot):
+                continue
+            if (spec.one_zone and zone and machine.zone != zone) or any(p.phase is Phase.STOPPING for p in lower):
+                continue
+            cpus = machine.cpus + sum(self.part.jobs[p.job].spec.cpus for p in lower)
+            gpus = machine.gpus + sum(self.part.jobs[p.job].spec.gpus for p in lower)
+            memory = machine.memory + sum(self.part.jobs[p.job].spec.memory_gb for p in lower)
+            if cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory_gb:
+                continue
+            # While one of its machines fetches, all of a gang's wait.
+            cost = sum(loss(self.part.jobs, p, now) for p in lower) + placing.fetch_s(spec, machine) * (spec.gpus or spec.cpus) * missing
+            victims.append((cost, machine))
+        if spec.one_zone and spec.tasks > 1 and not zone:
+            by_zone = [victim[1].zone for victim in victims]
+            best = max(sorted(set(by_zone)), key=by_zone.count, default="")
+            victims = [victim for victim in victims if victim[1].zone == best]
+        victims.sort(key=lambda victim: (victim[0], victim[1].name))
+        job.cleared = len(victims[:missing])
+        for _, machine in victims[:missing]:
+            job.preempted_at = now
+            log.info("job %s takes the place of lower work on %s", job.id, machine.name)
+            for placement in list(machine.live.values()):
+                other = self.part.jobs.get(placement.job)
+                if other and other.priority < job.priority and machine.live.get(placement.key) is placement:
+                    self.part.preempt(other, [placement.task], f"made room for {job.id}", now)
+
+    def _keep_for_gang(self, job: Job, look: _Pass) -> tuple[str, int]:
+        """The zone where a gang that finds no room is best completed ("" if any will do), and how many of
+        its tasks the machines kept for it there would take. Without this, lesser work and other teams
+        would take each machine before the last one is there."""
+        spec = job.spec
+        rooms: dict[str, list[tuple[Machine, int]]] = {}
+        promise: dict[str, int] = {}
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+
+        def suits(label: str, zone: str, spot: bool) -> bool:
+            return placing.permits(spec, label, zone, spot)
+
+        for machine in look.open:
+            zone = machine.zone if spec.one_zone else ""
+            if machine.name in self.part.reserved or not suits(machine.type, machine.zone, machine.spot):
+                continue
+            if room := machine.fits(*need):
+                rooms.setdefault(zone, []).append((machine, room))
+                promise[zone] = promise.get(zone, 0) + room
+        for zone, room in look.coming.zones(suits, need).items():
+            zone = zone if spec.one_zone else ""
+            promise[zone] = promise.get(zone, 0) + room
+        best = max(sorted(promise), key=lambda zone: promise[zone], default="")
+        kept = 0
+        for machine, room in rooms.get(best, ()):
+            if kept < spec.tasks:
+                self.part.reserved.add(machine.name)
+                kept += room
+        return best, min(kept, spec.tasks)
+
+    def _net_wants(self, short: list[tuple[Job, int, str]], look: _Pass, now: float) -> list[Want]:
+        """What is lacking once the machines still booting are counted in."""
+        cpus, gpus = self.part.usage.cpus, self.part.usage.gpus
+        out: list[Want] = []
+        for job, missing, zone in short:
+            spec = job.spec
+            if not guaranteed(self.part.team, cpus + spec.cpus * missing, gpus + spec.gpus * missing):
+                missing = min(missing, self.part.worth.pays(job, self.estimates.run_s(spec)))
+            cpus += spec.cpus * missing
+            gpus += spec.gpus * missing
+
+            def suits(label: str, where: str, spot: bool, spec: Spec = spec, zone: str = zone) -> bool:
+                return zone in ("", where) and placing.permits(spec, label, where, spot)
+
+            missing -= look.coming.take(suits, (spec.cpus, spec.gpus, spec.memory_gb), missing)
+            if missing > 0 and len(out) < MOST_WANTS:
+                out.append(
+                    Want(
+                        spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone or zone, spec.spot,
+                        spec.one_zone and spec.tasks > 1, missing, job.priority, guaranteed(self.part.team, cpus, gpus),
+                        self.slack(job, now), spec.image, spec.tasks if spec.one_zone and not spec.zone and zone else 0,
+                        math.isinf(job.due) and not self.part.worth.promised(spec),
+                    )
+                )  # fmt: skip
+        return out
--- a/ashdock/core/pipelines.py
+++ b/ashdock/core/pipelines.py
@@ -8,21 +8,32 @@
 
 import logging
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from ashdock.core import placement as placing
+from ashdock.core.estimates import Estimates
 from ashdock.core.job import Job, JobPhase
 from ashdock.core.needs import Carried, Needs
-from ashdock.wire.messages import Spec
-
-if TYPE_CHECKING:
-    from ashdock.core.part import Part
+from ashdock.core.telling import Telling
+from ashdock.settings import Workers
+from ashdock.wire.messages import MachineType, Spec
 
 log = logging.getLogger("ashdock.part")
 
 
+class Waited(Protocol):
+    """What of a part its waiting jobs rest on."""
+
+    workers: Workers
+    catalog: dict[str, MachineType]
+    jobs: dict[str, Job]
+    estimates: Estimates
+    telling: Telling
+    stale: bool
+
+
 class Pipelines:
-    def __init__(self, part: Part) -> None:
+    def __init__(self, part: Waited) -> None:
         self.part = part
         self.needs = Needs()
         self.unread: dict[str, None] = {}  # jobs that ours wait for, of which it is not known yet how they stand
@@ -44,7 +55,7 @@
     def _takes(self, spec: Spec) -> float:
         """How long from when it may start until it is done, where it finds room at once."""
         fetch = max((placing.image_s(spec, shape) for shape in self.part.catalog.values()), default=0.0)
-        return fetch + self.part.run_s(spec) + 2 * self.part.workers.report_s
+        return fetch + self.part.estimates.run_s(spec) + 2 * self.part.workers.report_s
 
     def look(self, now: float) -> None:
         """How the jobs stand that ours have come to wait for: what is not of this part has to be read."""
@@ -67,7 +78,7 @@
                 job.released(since)
                 self.part.stale = True
                 log.info("job %s may start: the last that it needs is done (%s)", job_id, need)
-                self.part.came(job, now)
+                self.part.telling.came(job, now)
         else:
             for job_id in self.needs.cancelled(need):
                 log.info("job %s is cancelled with %s, which it needs", job_id, need)
--- /dev/null
+++ b/ashdock/core/reports.py
@@ -0,0 +1,172 @@
+"""What a worker's report proves of a part's tasks: judged against what was ordered, and under which token."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from ashdock.core.estimates import Estimates
+from ashdock.core.job import Job
+from ashdock.core.machine import Machine, MachinePhase
+from ashdock.core.task import Failure, Phase, Placement
+from ashdock.settings import Workers
+from ashdock.wire.messages import ENDED, Held, Order, Report, split_task
+
+log = logging.getLogger("ashdock.part")
+
+
+class Reported(Protocol):
+    """What of a part a report may touch: its jobs, its machines, and the changes of state that follow from what is proved."""
+
+    jobs: dict[str, Job]
+    machines: dict[str, Machine]
+    workers: Workers
+    strange: dict[str, set[str]]
+    stale: bool
+
+    def token(self, machine: Machine) -> int: ...
+
+    def finish(self, job: Job, task: int, now: float) -> None: ...
+
+    def lost(self, placement: Placement, why: str, now: float) -> None: ...
+
+    def own_failure(self, machine: Machine, placement: Placement, why: str, now: float) -> None: ...
+
+    def stop(self, placement: Placement, why: str, leeway: float, now: float) -> None: ...
+
+    def taken_back(self, machine: Machine, notice: float, now: float) -> None: ...
+
+    def orders(self, machine: Machine, now: float, checkin: Report | None) -> list[Order]: ...
+
+
+class Reports:
+    def __init__(self, part: Reported, estimates: Estimates) -> None:
+        self.part = part
+        self.estimates = estimates
+
+    def on_report(self, report: Report, now: float, checkin: bool) -> list[Order] | None:
+        """Take a worker's report in; the answer's orders, or None if we may not answer."""
+        machine = self.part.machines.get(report.berth)
+        if machine is None:
+            return None
+        token = self.part.token(machine)
+        if report.warrant > token:
+            return None
+        newer = (report.tenure, report.tally) > (machine.tenure, machine.tally)
+        if not newer:
+            return []
+        if machine.phase is MachinePhase.EXPECTED:
+            self.part.stale = True
+        machine.came_up(report.address)
+        machine.inherited = False
+        machine.last_at = now
+        machine.warrant = report.warrant
+        if machine.tenure and report.tenure > machine.tenure:
+            self._session_over(machine, report, now)
+        machine.tenure, machine.tally = report.tenure, report.tally
+        machine.outstanding = {key: sent for key, sent in machine.outstanding.items() if sent >= report.warrant}
+        if report.recall_s is not None:
+            self.part.taken_back(machine, report.recall_s, now)
+        self._match(machine, report, now, checkin and report.warrant >= token)
+        return self.part.orders(machine, now, report if checkin else None)
+
+    def _session_over(self, machine: Machine, report: Report, now: float) -> None:
+        """The worker's lease ended: it killed and forgot all that it had."""
+        log.info("machine %s is in session %d: its tasks are gone", machine.name, report.tenure)
+        # Only what we ordered or saw in an earlier session. What an earlier owner started may be of this one, though
+        # the first report that we got was a late one of the session before.
+        machine.ended.clear()
+        machine.outstanding.clear()  # they name the old session
+        for placement in list(machine.live.values()):
+            if placement.tenure is not None and placement.tenure < report.tenure and placement.key in machine.live:
+                self.part.lost(placement, "worker lost its controllers", now)
+
+    def _match(self, machine: Machine, report: Report, now: float, proof: bool) -> None:
+        held: dict[tuple[str, int, int], Held] = {}
+        for item in report.shares:
+            held[(*split_task(item.share), item.attempt)] = item
+        machine.reported = len(held)
+        ended: set[tuple[str, int, int]] = set()
+        for placement in list(machine.live.values()):
+            if machine.live.get(placement.key) is not placement:
+                continue  # dropped with its gang a moment ago
+            key = (placement.job, placement.task, placement.attempt)
+            found = held.pop(key, None)
+            if found is None:
+                if proof and key not in machine.outstanding and self._absent(placement, report):
+                    if placement.phase is Phase.STOPPING or placement.seen:
+                        self.part.lost(placement, placement.why or "not on its machine", now)
+                continue
+            if found.status == ENDED:
+                ended.add(key)
+                self._ended(machine, placement, found, now)
+            else:
+                placement.held(found.status, report.tenure, now)
+                if placement.running_at == now:
+                    self._runs(placement, now)
+                spec = self.part.jobs[placement.job].spec
+                if found.status == "pulling":
+                    machine.lacks(spec.image)
+                else:
+                    machine.uses(spec.image, spec.image_gb)
+        strange: dict[tuple[str, int], int] = {}
+        for key, item in held.items():
+            if item.status == ENDED:
+                ended.add(key)
+                job = self.part.jobs.get(key[0])
+                if item.cause == "done" and job and job.active and 0 <= key[1] < job.spec.tasks:
+                    self._done_elsewhere(job, key[1], now)
+            else:
+                strange[key[0], key[1]] = key[2]
+        for job_id in sorted({job for job, _ in [*machine.strange, *strange]}):
+            here = any(job_id == other for other, _ in strange)
+            where = self.part.strange.setdefault(job_id, set())
+            (where.add if here else where.discard)(machine.name)
+            if not where:
+                del self.part.strange[job_id]
+        machine.strange = strange
+        machine.ended = ended
+
+    def _runs(self, placement: Placement, now: float) -> None:
+        job = self.part.jobs[placement.job]
+        if job.started_at is None:
+            job.started_at = now
+            waited = placement.placed_at - job.since
+            log.info("job %s (%s) runs %.1f s after it %s: %.1f s for room, %.1f s on the way", job.id, job.spec.job_class, now - job.since,
+                     "could start" if job.spec.needs else "was accepted", waited, now - placement.placed_at)  # fmt: skip
+
+    def _absent(self, placement: Placement, report: Report) -> bool:
+        """Whether a report under our token that lacks the task proves that it is not, and will not be, there."""
+        if placement.ordered is not None and (report.tenure, report.tally) <= placement.ordered:
+            return False
+        return placement.phase >= Phase.ORDERED
+
+    def _done_elsewhere(self, job: Job, task: int, now: float) -> None:
+        if job.spec.kind == "service":
+            return
+        for other in range(job.spec.tasks) if job.spec.kind == "gang" else (task,):
+            placement = job.live.get(other)
+            if placement is not None and job.spec.kind != "gang":
+                self.part.stop(placement, "done already", 0.0, now)
+                continue
+            self.part.finish(job, other, now)
+
+    def _ended(self, machine: Machine, placement: Placement, item: Held, now: float) -> None:
+        job = self.part.jobs[placement.job]
+        cause = item.cause or "error"
+        if cause == "done" and job.spec.kind != "service" and job.active:
+            machine.failed.clear()
+            machine.uses(job.spec.image, job.spec.image_gb)
+            self.estimates.learn(job, placement, now)
+            tasks = range(job.spec.tasks) if job.spec.kind == "gang" else (placement.task,)
+            for task in tasks:
+                self.part.finish(job, task, now)
+            job.breaking = job.broke = None
+        elif cause in ("error", "no_such") and placement.phase is not Phase.STOPPING and job.active:
+            self.part.own_failure(machine, placement, cause, now)
+        else:
+            if cause == "no_room":
+                machine.no_room_until = now + self.part.workers.report_s
+            if cause == "error":
+                job.broke = job.broke or (Failure(0, now, f"error on {machine.name}") if job.spec.kind == "gang" else None)
+            self.part.lost(placement, cause, now)
--- /dev/null
+++ b/ashdock/core/telling.py
@@ -0,0 +1,215 @@
+"""What a part's owner tells the leader, and what it does of what the leader asks."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import deque
+from typing import NamedTuple, Protocol
+
+from ashdock.core import placement as placing
+from ashdock.core.job import Job
+from ashdock.core.losses import machine_loss
+from ashdock.core.machine import Machine, capacity
+from ashdock.core.quota import Usage, guaranteed
+from ashdock.settings import Team, Workers
+from ashdock.wire.messages import MachineType, Spec
+
+log = logging.getLogger("ashdock.part")
+
+BOOTS_BACK = 4  # how many boots' time of arrivals tells what is to be expected
+
+
+class Want(NamedTuple):
+    """Room that a part lacks, as its owner tells the leader."""
+
+    cpus: float
+    gpus: float
+    memory: float
+    types: tuple[str, ...]
+    zone: str
+    spot: bool
+    together: bool  # all in one zone
+    tasks: int
+    priority: int
+    guaranteed: bool
+    slack_s: float  # until it had better run
+    image: str = ""
+    whole: int = 0  # gang in one zone of the owner's choosing: all its tasks, should another zone do better
+    idle: bool = False  # nothing was promised: no guarantee, no deadline, no aim
+
+
+class Recalled(NamedTuple):
+    """Machines that a part is to vacate for another team."""
+
+    part: str
+    to: str
+    machines: list[str]
+
+
+class Owed(NamedTuple):
+    """Machines that a part is to pass on as they come free, to a team whose like work has waited longer."""
+
+    part: str
+    to: str
+    number: int
+    types: tuple[str, ...]
+    zone: str
+    spot: bool
+
+
+class Busy(NamedTuple):
+    """A machine at work: what stopping it would cost."""
+
+    machine: str
+    priority: int  # the highest on it
+    loss_s: float  # work lost, in seconds of the whole machine
+
+
+class Picture(NamedTuple):
+    """What the leader is told of a part."""
+
+    team: str
+    seen: int  # the latest assignment of a machine that this picture takes in
+    wants: list[Want]
+    idle: list[tuple[str, float]]  # empty machines, and for how long
+    busy: list[Busy]
+    machines: int
+    waiting: int
+    spare_beyond: int  # machines held beyond the guarantee
+
+
+class Told(Protocol):
+    """What of a part goes into its picture, and what the leader's wishes may touch."""
+
+    name: str
+    team: Team
+    workers: Workers
+    catalog: dict[str, MachineType]
+    jobs: dict[str, Job]
+    machines: dict[str, Machine]
+    usage: Usage
+    wants: list[Want]
+    reserved: set[str]
+    looked: int
+
+    def drain(self, machine: Machine, now: float) -> None: ...
+
+    def note_machine(self, name: str) -> None: ...
+
+
+class Telling:
+    def __init__(self, part: Told) -> None:
+        self.part = part
+        self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
+        self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
+
+    def came(self, job: Job, now: float) -> None:
+        """A new job, and not one read at a takeover: what has come of late tells what is to be expected."""
+        if job.spec.deadline_s is None and job.spec.kind != "service" and not job.waits:
+            per = max((capacity(shape, job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for shape in self.part.catalog.values()), default=1)
+            self.arrived.append((now, -(-job.spec.tasks // max(per, 1)), job.spec))
+            self._lately(now)  # here too: where no machine ever stands empty, nobody else looks
+
+    def headroom(self, now: float) -> int:
+        """How many empty machines to keep at hand for jobs that are not to wait: one standard deviation of what comes
+        in a boot's time. On the mean, what ends makes room for what comes; it is the swings that would have to wait
+        for a boot, or for other work to save itself."""
+        self._lately(now)
+        return round(math.sqrt(sum(size * size for _, size, _ in self.arrived) / BOOTS_BACK))
+
+    def _lately(self, now: float) -> None:
+        """Forget what came longer ago than is looked back on."""
+        boot_s = max((shape.boot_s for shape in self.part.catalog.values()), default=self.part.workers.lease_s)
+        while self.arrived and now - self.arrived[0][0] > BOOTS_BACK * boot_s:
+            self.arrived.popleft()
+
+    def _at_hand(self, idle: list[Machine], now: float) -> set[str]:
+        """The empty machines to keep, within the guarantee only; those that hold most images first."""
+        keep = self.headroom(now) if idle else 0
+        out: set[str] = set()
+        cpus, gpus = self.part.usage.cpus, self.part.usage.gpus
+        for machine in sorted(idle, key=lambda m: (-len(m.images), m.name)) if keep else ():
+            cpus, gpus = cpus + machine.shape.cpus, gpus + machine.shape.accelerators
+            if len(out) >= keep or not guaranteed(self.part.team, cpus, gpus):
+                break
+            if any(placing.permits(spec, machine.type, machine.zone, machine.spot) for _, _, spec in self.arrived):
+                out.add(machine.name)
+        return out
+
+    def picture(self, now: float) -> Picture:
+        # A machine that came after the last pass is not idle: nobody has looked yet at what it is for. Told as idle, with the
+        # wants of that pass, it was lent back to where it came from; so two parts of one controller handed their machines
+        # to each other for a minute, and nothing ran.
+        empty = [
+            m for m in self.part.machines.values()
+            if m.empty and m.idle_since is not None and m.usable and m.name not in self.part.reserved and m.stamp <= self.part.looked
+        ]  # fmt: skip
+        kept = self._at_hand(empty, now)
+        idle = [(m.name, now - (m.idle_since or now)) for m in empty if m.name not in kept]
+        busy = [
+            Busy(m.name, max(self.part.jobs[p.job].priority for p in m.live.values()), machine_loss(self.part.jobs, m, now))
+            for m in self.part.machines.values()
+            if m.live and m.usable and m.name not in self.part.reserved
+        ]  # fmt: skip
+        waiting = sum(job.ready for job in self.part.jobs.values() if job.active and not job.waits)
+        return Picture(self.part.name, self.part.looked, self.part.wants, idle, busy, len(self.part.machines), waiting, self._beyond(busy))
+
+    def _beyond(self, busy: list[Busy]) -> int:
+        """How many machines' work the team runs beyond its guarantee. Machines that stand empty or boot do not
+        count: taking running work for those made machines go round between teams that were all within theirs."""
+        cpus, gpus = self.part.usage.cpus, self.part.usage.gpus
+        beyond = 0
+        for item in sorted(busy, key=lambda item: item.loss_s):
+            machine = self.part.machines[item.machine]
+            cpus -= machine.shape.cpus - machine.cpus
+            gpus -= machine.shape.accelerators - machine.gpus
+            if guaranteed(self.part.team, cpus + 1e-3, gpus + 1e-3) and not self._at_least(cpus, gpus):
+                break
+            beyond += 1
+        return beyond
+
+    def _at_least(self, cpus: float, gpus: float) -> bool:
+        """Whether so much still fills the guarantee."""
+        team = self.part.team
+        return not ((team.gpus > 0 and gpus < team.gpus - 1e-6) or (team.cpus > 0 and cpus < team.cpus - 1e-6))
+
+    def yield_machine(self, name: str, to: str, now: float) -> None:
+        """The leader wants it elsewhere. It goes if empty, by a write under our fence."""
+        machine = self.part.machines.get(name)
+        if machine is not None and machine.usable and machine.empty and to != self.part.name:
+            machine.to = to
+            machine.leave("moves")
+            self.part.note_machine(name)
+
+    def recall(self, order: Recalled, now: float) -> None:
+        """Vacate machines for a team that lacks its guarantee, or for work of higher priority."""
+        for name in order.machines:
+            machine = self.part.machines.get(name)
+            if machine and machine.usable and name not in self.part.reserved:
+                log.info("machine %s is vacated for team %s", name, order.to)
+                machine.leave(f"recalled for {order.to}")
+                machine.to = order.to
+                self.part.note_machine(name)
+                self.part.drain(machine, now)
+
+    def owe(self, order: Owed, now: float) -> None:
+        self.owed[order.to] = (order, now + self.part.workers.lease_s)
+
+    def pass_on(self, now: float) -> None:
+        """Nothing is stopped for it: only what has come free goes, before our own work takes it."""
+        for machine in self.part.machines.values():
+            if machine.live or machine.strange or not machine.usable:
+                continue
+            for to, (order, until) in list(self.owed.items()):
+                if now > until or order.number <= 0:
+                    del self.owed[to]
+                elif (not order.types or machine.type in order.types) and order.zone in ("", machine.zone) and (order.spot or not machine.spot):
+                    machine.to = to
+                    machine.leave(f"passed on to {to}")
+                    self.part.note_machine(machine.name)
+                    self.owed[to] = (order._replace(number=order.number - 1), until)
+                    break
+
+    def counts(self) -> list[tuple[str, int, int]]:
+        return [(job.id, job.done, job.running) for job in self.part.jobs.values() if job.active]
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -10,7 +10,7 @@
 from ashdock.again import walk
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.machine import images_of, trimmed
-from ashdock.core.part import Owed, Picture, Recalled
+from ashdock.core.telling import Owed, Picture, Recalled
 from ashdock.net.budget import Turn
 from ashdock.net.cloud import CloudTrouble, NoCapacity
 from ashdock.net.state import Conflict, Entry, Unavailable
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -105,7 +105,7 @@
         part = self.part
         if self.phase is not OwnerPhase.ACTIVE or part is None or not self.controller.may_renew():
             return None
-        orders = part.on_report(report, self.controller.now(), checkin=True)
+        orders = part.reports.on_report(report, self.controller.now(), checkin=True)
         if orders is None:
             return None
         if part.stale or part.ledger.touched or part.ledger.changing or part.urgent:
@@ -177,7 +177,7 @@
             part.wants = []
         elif self._pass_due(part, now):
             self.passed_at = now
-            part.schedule(now)
+            part.passes.schedule(now)
             # No more than its share of the processor goes into passes, however large the part.
             ended = self.controller.now()
             self.pass_after = ended + pause_s(ended - now, pass_share(len(self.controller.owners)))
@@ -302,7 +302,7 @@
             status, report = await self.controller.worker_client.orders(machine.address, token, machine.tenure, orders)
             part.direct_answered(machine, orders)
             if report is not None and report.berth == machine.name and self.phase is OwnerPhase.ACTIVE:
-                part.on_report(report, self.controller.now(), checkin=False)
+                part.reports.on_report(report, self.controller.now(), checkin=False)
             if status != 200:
                 log.debug("machine %s did not take orders: %d", machine.name, status)
         except NoAnswer as why:
--- a/ashdock/wire/frames.py
+++ b/ashdock/wire/frames.py
@@ -10,7 +10,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
+from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
 
 MAGIC = b"AD"
 VERSION = 3
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,9 +13,10 @@
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
 from ashdock.core.machine import trimmed
-from ashdock.core.part import Busy, Owed, Part, Picture, Recalled, Want
+from ashdock.core.part import Part
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
+from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
 from ashdock.core.worth import Worth
 from ashdock.leader import gone_from, lag_of
 from ashdock.settings import Objective, Operators, Renting, Retry, Team
@@ -155,19 +156,19 @@
 def test_placement(more: dict[str, Any], zones: str, placed: int, most_zones: int) -> None:
     part = part_with([spec(**more)], zones)
     for n in range(len(zones)):
-        part.on_report(report(f"vm-{n}", 1), 1.0, True)
-    part.schedule(1.0)
+        part.reports.on_report(report(f"vm-{n}", 1), 1.0, True)
+    part.passes.schedule(1.0)
     live = part.jobs["req-000001"].live.values()
     assert len(live) == placed and len({part.machines[p.machine].zone for p in live}) <= most_zones
 
 
 def started(part: Part) -> None:
     """One task of the job placed on vm-0, committed, and its start sent in the answer to report 2."""
-    part.on_report(report("vm-0", 1), 1.0, True)
-    part.schedule(1.0)
-    assert not [o for o in part.on_report(report("vm-0", 2), 1.5, True) or [] if o.verb == "run"], "sent before it was durable"
+    part.reports.on_report(report("vm-0", 1), 1.0, True)
+    part.passes.schedule(1.0)
+    assert not [o for o in part.reports.on_report(report("vm-0", 2), 1.5, True) or [] if o.verb == "run"], "sent before it was durable"
     commit(part, 20)
-    assert [o.verb for o in part.on_report(report("vm-0", 3), 2.0, True) or []] == ["run"]
+    assert [o.verb for o in part.reports.on_report(report("vm-0", 3), 2.0, True) or []] == ["run"]
 
 
 PROOFS = [  # what comes next, the task being told to stop -> does the placement still count?
@@ -195,7 +196,7 @@
     part.preempt(one, [0], "test", 3.0)
     for kind, a, b, c in events:
         if kind in ("report", "direct"):
-            part.on_report(report("vm-0", a, warrant=b, tenure=c), 4.0, kind == "report")
+            part.reports.on_report(report("vm-0", a, warrant=b, tenure=c), 4.0, kind == "report")
         elif kind == "tick":
             part.tick(float(a))
         elif kind == "gone":
@@ -218,20 +219,20 @@
     part.jobs["req-000001"].done, part.jobs["req-000001"].ready = 1, 1
     started(part)
     one = part.jobs["req-000001"]
-    orders = part.on_report(report("vm-0", 4, [("req-000001/0", 1, "ended", cause)]), 3.0, True)
+    orders = part.reports.on_report(report("vm-0", 4, [("req-000001/0", 1, "ended", cause)]), 3.0, True)
     assert "forget" not in [o.verb for o in orders or []], "forgotten before the outcome was durable"
     assert 0 not in one.live and one.fails.get(0, Failure(0, 0, "")).times == failures
     assert (one.phase is JobPhase.OVER) is (after == "done")
     writes = commit(part, 30)
     if after == "done":
         assert writes["job/req-000001"]["status"] == "done" and writes["work/red/req-000001/job"] is None
-    orders = part.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", cause)]), 4.0, True)
+    orders = part.reports.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", cause)]), 4.0, True)
     assert "forget" in [o.verb for o in orders or []]
 
 
 def test_a_stale_owner_gives_no_answer() -> None:
     part = part_with([spec()], "a")
-    assert part.on_report(report("vm-0", 1, warrant=11), 1.0, True) is None
+    assert part.reports.on_report(report("vm-0", 1, warrant=11), 1.0, True) is None
 
 
 def test_a_new_owner_counts_what_it_inherits() -> None:
@@ -243,9 +244,9 @@
     heir.load([], [("work/red/req-000001/job", record, 7), ("work/red/req-000001/0", chunk, 20)], [], 5.0)
     assert heir.usage.gpus == 1.0 and 0 in heir.jobs["req-000001"].live
     heir.preempt(heir.jobs["req-000001"], [0], "test", 5.0)
-    heir.on_report(report("vm-0", 9, warrant=10), 5.0, True)  # lacks it, but under the old token: its start may be under way
+    heir.reports.on_report(report("vm-0", 9, warrant=10), 5.0, True)  # lacks it, but under the old token: its start may be under way
     assert 0 in heir.jobs["req-000001"].live
-    heir.on_report(report("vm-0", 10, warrant=50), 6.0, True)
+    heir.reports.on_report(report("vm-0", 10, warrant=50), 6.0, True)
     assert 0 not in heir.jobs["req-000001"].live
 
 
@@ -253,7 +254,7 @@
     part = part_with([spec(shares=2)], "")
     for now in range(1, 2000, 100):
         part.tick(float(now))
-        part.schedule(float(now))
+        part.passes.schedule(float(now))
     assert part.jobs["req-000001"].fails == {} and part.parks.items == [] and part.wants[0].tasks == 2
 
 
@@ -322,9 +323,9 @@
 def test_estimates_are_corrected_by_what_tasks_took() -> None:
     part = part_with([spec(shares=1, expect_s=10.0)], "a")
     started(part)
-    part.on_report(report("vm-0", 4, [("req-000001/0", 1, "running", None)]), 10.0, True)
-    part.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", "done")]), 30.0, True)
-    assert 10.0 < part.run_s(spec(expect_s=10.0)) <= 20.0
+    part.reports.on_report(report("vm-0", 4, [("req-000001/0", 1, "running", None)]), 10.0, True)
+    part.reports.on_report(report("vm-0", 5, [("req-000001/0", 1, "ended", "done")]), 30.0, True)
+    assert 10.0 < part.estimates.run_s(spec(expect_s=10.0)) <= 20.0
 
 
 LISTS = [  # (time, names listed) in turn -> what the last one shows to be gone
@@ -366,7 +367,7 @@
     """An array of 25,000 tasks of 4 s each asked for room for all at once: 195 machines."""
     part = part_with([spec(shares=tasks, expect_s=run_s, due_s=due_s, accelerators=0.0)], "")
     part.team = part.worth.team = Team("red")  # a guest: nothing is guaranteed
-    part.schedule(1.0)
+    part.passes.schedule(1.0)
     assert part.wants[0].tasks == asked and part.wants[0].idle is (due_s is None)
 
 
@@ -379,13 +380,13 @@
     part = part_with(jobs, "")
     aims = [Objective("finished", 0.5, "w", 400.0)]
     part.worth = Worth(Team("red"), msgspec.structs.replace(part.shared, objectives=aims), part.catalog)
-    assert [job.id[-1] for job in part.waiting(9.0)] == ["3", "2", "1"]
+    assert [job.id[-1] for job in part.passes.waiting(9.0)] == ["3", "2", "1"]
     part.jobs["req-000002"].since = -2000.0  # long overdue: nothing starves
-    assert [job.id[-1] for job in part.waiting(9.0)] == ["2", "3", "1"]
+    assert [job.id[-1] for job in part.passes.waiting(9.0)] == ["2", "3", "1"]
 
 
 def fails(part: Part, name: str, tally: int, tasks: list[tuple[str, int]], now: float) -> None:
-    part.on_report(report(name, tally, [(task, attempt, "ended", "error") for task, attempt in tasks]), now, True)
+    part.reports.on_report(report(name, tally, [(task, attempt, "ended", "error") for task, attempt in tasks]), now, True)
 
 
 def test_a_job_that_fails_everywhere_is_tried_by_one_task_and_displaces_nothing() -> None:
@@ -394,30 +395,30 @@
     part = part_with([spec(shares=6, urgency="high")], "ab")
     one = part.jobs["req-000001"]
     for name in ("vm-0", "vm-1"):
-        part.on_report(report(name, 1), 0.5, True)
-    part.schedule(1.0)
+        part.reports.on_report(report(name, 1), 0.5, True)
+    part.passes.schedule(1.0)
     assert len(one.live) == 6
     revision = 20
     for tally in range(1, 4):
         commit(part, revision)
         for name in ("vm-0", "vm-1"):
             tasks = [(f"req-000001/{p.task}", p.attempt) for p in one.live.values() if p.machine == name]
-            part.on_report(report(name, 3 * tally), float(tally), True)
-            part.on_report(report(name, 3 * tally + 1, [(task, n, "running", None) for task, n in tasks]), float(tally), True)
+            part.reports.on_report(report(name, 3 * tally), float(tally), True)
+            part.reports.on_report(report(name, 3 * tally + 1, [(task, n, "running", None) for task, n in tasks]), float(tally), True)
             fails(part, name, 3 * tally + 2, tasks, tally + 0.5)
         assert one.reason and "error on vm-" in one.reason, "told from the first failure on"
         if one.doubtful:
             break
-        part.schedule(tally + 0.6)
+        part.passes.schedule(tally + 0.6)
         revision += 1
     assert one.doubtful and not any(machine.failed for machine in part.machines.values())
     commit(part, 90)
     for name in ("vm-0", "vm-1"):
-        part.on_report(report(name, 90), 39.0, True)
+        part.reports.on_report(report(name, 90), 39.0, True)
     part.add_job(queued(spec(2, shares=16, expect_s=50.0), 0.0), 8)
     for now in (40.0, 41.0, 42.0):
         part.tick(now)
-        part.schedule(now)
+        part.passes.schedule(now)
     sound = part.jobs["req-000002"]
     assert len(one.live) <= 1 and sound.live
     assert not any(p.phase is Phase.STOPPING for p in sound.live.values()) and all(w.priority == 1 for w in part.wants)
@@ -431,13 +432,13 @@
 def test_a_machine_that_came_after_the_last_pass_is_not_idle() -> None:
     """Lent, told as idle before its part had looked at it, and lent back: two parts' machines went round for a minute."""
     part = part_with([], "a")
-    part.on_report(report("vm-0", 1), 1.0, True)
-    part.schedule(1.0)
-    assert [name for name, _ in part.picture(9.0).idle] == ["vm-0"]
+    part.reports.on_report(report("vm-0", 1), 1.0, True)
+    part.passes.schedule(1.0)
+    assert [name for name, _ in part.telling.picture(9.0).idle] == ["vm-0"]
     part.add_machine("vm-1", {"t": "g4", "z": "a", "s": False, "p": "red", "a": "10.1.0.2:9000", "n": 1}, 30, 9.0)
-    assert [name for name, _ in part.picture(9.0).idle] == ["vm-0"] and part.picture(9.0).seen < 30
-    part.schedule(9.1)
-    assert [name for name, _ in part.picture(9.1).idle] == ["vm-0", "vm-1"] and part.picture(9.1).seen == 30
+    assert [name for name, _ in part.telling.picture(9.0).idle] == ["vm-0"] and part.telling.picture(9.0).seen < 30
+    part.passes.schedule(9.1)
+    assert [name for name, _ in part.telling.picture(9.1).idle] == ["vm-0", "vm-1"] and part.telling.picture(9.1).seen == 30
 
 
 @pytest.mark.parametrize(
@@ -454,7 +455,7 @@
     record = {"t": "g4", "z": "a", "s": False, "p": "red", "at": 0.0}
     heir = part_with([spec(shares=2)], "", stamp=50)
     heir.load([("vm-9", record, 5)], [], [], 14.0)
-    heir.schedule(14.0)
+    heir.passes.schedule(14.0)
     assert heir.machines["vm-9"].coming(14.0) is True
     heir.tick(16.0)
     assert heir.machines["vm-9"].why == ""  # it may be up: silence since the takeover has to show
@@ -480,7 +481,7 @@
     heir.preempt(heir.jobs["req-000001"], [0], "test", 5.0)
     for tenure, tally, token, listed in reports:
         tasks: list[tuple[str, int, str, str | None]] = [("req-000001/0", 1, "running", None)] if listed else []
-        heir.on_report(report("vm-0", tally, tasks, warrant=token, tenure=tenure), 6.0, True)
+        heir.reports.on_report(report("vm-0", tally, tasks, warrant=token, tenure=tenure), 6.0, True)
     assert (0 in heir.jobs["req-000001"].live) is counts
 
 
@@ -496,16 +497,16 @@
 
     monkeypatch.setattr(placing, "permits", counted)
     part = part_with([spec(1, shares=8)], "ab" * 40)
-    part.schedule(1.0)
+    part.passes.schedule(1.0)
     for machine in part.machines.values():
         machine.came_up("10.1.0.1:9000")
-    part.schedule(1.0)
+    part.passes.schedule(1.0)
     costs = []
     for batch in (1, 2, 3):
         for n in range(30):
             part.add_job(queued(spec(batch * 100 + n, shares=1, cpus=40.0), 0.0), 7)
         calls[0] = 0
-        part.schedule(2.0 + batch)
+        part.passes.schedule(2.0 + batch)
         costs.append(calls[0])
     assert costs[0] == costs[1] == costs[2] <= 80
 
@@ -513,14 +514,14 @@
 def test_a_transaction_looks_only_at_jobs_that_changed(monkeypatch: pytest.MonkeyPatch) -> None:
     part = part_with([spec(n, shares=1) for n in range(1, 200)], "a")
     part.tick(1.0)
-    part.on_report(report("vm-0", 1), 1.0, True)
-    part.schedule(1.0)
+    part.reports.on_report(report("vm-0", 1), 1.0, True)
+    part.passes.schedule(1.0)
     commit(part, 20)
     seen: list[str] = []
     real = part.ledger._unwritten
     monkeypatch.setattr(part.ledger, "_unwritten", lambda job: seen.append(job.id) or real(job))
     assert part.ledger.next_txn() is None
-    part.on_report(report("vm-0", 2, [("req-000001/0", 1, "ended", "done")]), 2.0, True)
+    part.reports.on_report(report("vm-0", 2, [("req-000001/0", 1, "ended", "done")]), 2.0, True)
     seen.clear()
     assert part.ledger.next_txn() is not None
     assert seen == ["req-000001"]
@@ -562,11 +563,11 @@
 def test_what_comes_free_is_passed_on_before_own_work_takes_it() -> None:
     part = part_with([spec(1, shares=1), spec(2, shares=8)], "ab")
     for tally, machine in enumerate(("vm-0", "vm-1"), 1):
-        part.on_report(report(machine, tally), 1.0, True)
-    part.owe(Owed("red", "blue", 1, (), "b", True), 1.0)
-    part.schedule(1.0)
+        part.reports.on_report(report(machine, tally), 1.0, True)
+    part.telling.owe(Owed("red", "blue", 1, (), "b", True), 1.0)
+    part.passes.schedule(1.0)
     assert part.machines["vm-1"].to == "blue" and not part.machines["vm-1"].live and part.machines["vm-0"].live
-    part.schedule(1.5)
+    part.passes.schedule(1.5)
     assert part.machines["vm-0"].to is None  # one was asked for
 
 
@@ -580,16 +581,16 @@
     """An empty machine within a guarantee was lent or returned at once, and the next gang waited for a boot."""
     part = part_with([], "abcabc")
     for n in range(6):
-        part.on_report(report(f"vm-{n}", 1), 1.0, True)
+        part.reports.on_report(report(f"vm-{n}", 1), 1.0, True)
     for n, size in enumerate(sizes, 1):
         gang = part.add_job(queued(spec(n, shape="ensemble", shares=size, accelerators=4.0), 1.0), 7)
-        part.came(gang, 1.0)
-    assert part.headroom(2.0) == kept
+        part.telling.came(gang, 1.0)
+    assert part.telling.headroom(2.0) == kept
     within = min(kept, 2)  # red's guarantee is two machines
-    assert len(part.picture(2.0).idle) == 6 - within
+    assert len(part.telling.picture(2.0).idle) == 6 - within
     late = part.add_job(queued(spec(99, shares=1), 99.0), 7)
-    part.came(late, 99.0)
-    assert len(part.arrived) == 1 and part.headroom(99.0 + 5 * G4.boot_s) == 0
+    part.telling.came(late, 99.0)
+    assert len(part.telling.arrived) == 1 and part.telling.headroom(99.0 + 5 * G4.boot_s) == 0
 
 
 CACHE = [  # images used in turn with their sizes, in a cache of 80 GB -> what it holds, the last used last
@@ -623,11 +624,11 @@
 @pytest.mark.parametrize(("gangs", "order"), TURNS)
 def test_the_small_go_first_while_not_all_can_be_in_time(gangs: list[tuple[int, float]], order: list[int]) -> None:
     part = part_with([], "")
-    part.aims["w"] = [10.0, 60.0]
+    part.passes.aims["w"] = [10.0, 60.0]
     for n, (tasks, at) in enumerate(gangs):
         one = spec(n, shape="ensemble", shares=tasks, accelerators=2.0)
         part.add_job(queued(one, at), 7)
-    assert [job.id for job in part.waiting(100.0)] == [f"req-{n:06d}" for n in order]
+    assert [job.id for job in part.passes.waiting(100.0)] == [f"req-{n:06d}" for n in order]
 
 
 def test_rentals_for_all_teams_go_out_together() -> None:
@@ -650,8 +651,8 @@
     part = part_with([spec(1, shares=400)], "ab" * 50)
     part.usage.team = Team("red", gpus=8, gpus_max=1000)
     for n in range(100):
-        part.on_report(report(f"vm-{n}", 1), 1.0, True)
-    part.schedule(1.0)
+        part.reports.on_report(report(f"vm-{n}", 1), 1.0, True)
+    part.passes.schedule(1.0)
     assert len(part.jobs["req-000001"].live) == 400
     writes = [commit(part, 20)]
     assert sum(map(len, writes)) <= 8 and part.ledger.next_txn() is None
@@ -661,7 +662,7 @@
     for machine, tasks in where.items():
         part.direct(part.machines[machine], 1.0)
         part.direct_answered(part.machines[machine], part.orders(part.machines[machine], 1.0, None))
-        part.on_report(report(machine, 2, tasks), 5.0, True)
+        part.reports.on_report(report(machine, 2, tasks), 5.0, True)
     ends = []
     while part.jobs:
         ends.append(commit(part, 30 + len(ends)))
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -133,17 +133,17 @@
     first, last = part.jobs["req-000001"], part.jobs["req-000002"]
     assert last.waits and first.priority == last.spec.priority and first.due < last.due == 60.0
     part.pipelines.settled("req-000009", "done", 3.0, 3.5)
-    part.schedule(4.0)
-    assert len(first.live) == 4 and not last.live and part.usage.gpus == 4 and not part.wants and part.picture(4.0).waiting == 0
+    part.passes.schedule(4.0)
+    assert len(first.live) == 4 and not last.live and part.usage.gpus == 4 and not part.wants and part.telling.picture(4.0).waiting == 0
     commit(part, 20)
     for name in ("vm-0", "vm-1"):
-        part.on_report(report(name, 1), 5.0, checkin=True)
+        part.reports.on_report(report(name, 1), 5.0, checkin=True)
         ended = [(f"{p.job}/{p.task}", p.attempt, "ended", "done") for p in first.live.values() if p.machine == name]
-        part.on_report(report(name, 2, ended), 6.0, checkin=True)
-    part.schedule(6.5)
+        part.reports.on_report(report(name, 2, ended), 6.0, checkin=True)
+    part.passes.schedule(6.5)
     assert first.phase is JobPhase.OVER and not last.live  # done in memory only
     commit(part, 21)
-    part.schedule(7.0)
+    part.passes.schedule(7.0)
     assert not last.waits and len(last.live) == 8 and last.since >= 3.0
 
 
@@ -341,7 +341,7 @@
     store = Store(keys)
     old = store.part(part_with([], "", stamp=9))
     old.machines["vm-000001"].came_up("x")
-    old.schedule(20.0)
+    old.passes.schedule(20.0)
     late = old.ledger.next_txn()
     assert late is not None and any(path.endswith("/0") for path in late.writes)
     store.part(new_part(stamp=10))
@@ -356,7 +356,7 @@
     store = Store(keys)
     part = store.part(new_part(value_kb=8.0))
     part.machines["vm-000001"].came_up("x")
-    part.schedule(21.0)
+    part.passes.schedule(21.0)
     late = part.ledger.next_txn()
     assert late is not None and any(path.endswith("/1") for path in late.writes)
     meant = states(part)
@@ -373,7 +373,7 @@
     part.add_job(queued(spec(1, shape="ensemble", shares=120, cpus=2.0, accelerators=0.0), 0.0), 7)
     job = part.jobs["req-000001"]
     job.narrow(8)
-    part.schedule(1.0)
+    part.passes.schedule(1.0)
     assert len(job.live) == 120
     store = Store({}, bytes_=512, ops=4)
     store.keys |= {"part/red": ({}, 10), "job/req-000001": ({}, 7), "work/red/req-000001/job": (queued(job.spec, 0.0), 7)}
@@ -674,14 +674,14 @@
         controller = next(c for c in service.controllers.values() if "red" in c.owners)
         part = controller.owners["red"].part
         assert part is not None
-        txn, schedule, passes = controller.state.txn, part.schedule, [service.now()]
+        txn, schedule, passes = controller.state.txn, part.passes.schedule, [service.now()]
 
         async def slow(when: dict[str, int], writes: dict[str, Any], **more: Any) -> int:
             await asyncio.sleep(0.4 if "part/red" in when else 0.0)
             return await txn(when, writes, **more)
 
         monkeypatch.setattr(controller.state, "txn", slow)
-        monkeypatch.setattr(part, "schedule", lambda now: passes.append(service.now()) or schedule(now))
+        monkeypatch.setattr(part.passes, "schedule", lambda now: passes.append(service.now()) or schedule(now))
         for one in part.jobs.values():
             for chunk in one.chunks.values():
                 chunk.placed = chunk.touch()
@@ -701,16 +701,16 @@
     part = part_with([spec(1, shape="ensemble", shares=2, cpus=30.0, snapshot_s=5.0, flush_s=1.0, expect_s=900.0)], "ab")
     for name in part.machines:
         part.machines[name].came_up("x")
-    part.schedule(0.5)
+    part.passes.schedule(0.5)
     commit(part, 20)
     for name in part.machines:
-        part.on_report(report(name, 1), 1.0, checkin=True)
+        part.reports.on_report(report(name, 1), 1.0, checkin=True)
         its = [(f"{p.job}/{p.task}", p.attempt, "running", None) for p in part.jobs["req-000001"].live.values() if p.machine == name]
-        part.on_report(report(name, 2, its), 2.0, checkin=True)
+        part.reports.on_report(report(name, 2, its), 2.0, checkin=True)
     part.add_job(queued(spec(2, shares=2, cpus=16.0, accelerators=0.0, urgency="best_effort", expect_s=8.0), 0.0), 30)
     part.add_job(queued(spec(3, shares=1, awaits=["req-000002"], urgency="high", expect_s=8.0, due_s=150.0), 0.0), 31)
     assert part.jobs["req-000002"].priority == 2
-    part.schedule(now)
+    part.passes.schedule(now)
     assert sum(p.phase is Phase.STOPPING for p in part.jobs["req-000001"].live.values()) == stopped
 
 
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -377,7 +377,7 @@
         many = [(f"req-{n:06d}", 1, 2) for n in range(9000)]
         part = owner.owners["red"].part
         assert part is not None
-        monkeypatch.setattr(part, "counts", lambda: many)
+        monkeypatch.setattr(part.telling, "counts", lambda: many)
         await asyncio.sleep(2)
         assert all(other.remote_counts[owner.label][name] == (1, 2) for name, _, _ in many)
         assert not owner.mesh.send(other.label, Relay(1, b"x" * frames.MOST)) and owner.mesh.send(other.label, Relay(1, b"x"))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ashdock import cli
-from ashdock.core.part import Busy, Owed, Picture, Recalled, Want
+from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
 from ashdock.net.http import Answer, Client, Request, Server, plain_door
 from ashdock.settings import SettingsError, load, load_operators
 from ashdock.wire import frames
