--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -41,6 +41,8 @@
         self.shared = settings.settings
         self.workers = self.shared.workers
         self.label = settings.label
+        self.others = settings.others
+        self.operators = settings.operators
         self.rng = rng or random.Random()
         # One clock for all that is kept: the time of day at the start, carried on by the steady clock.
         self.offset = time.time() - time.monotonic()
@@ -75,10 +77,27 @@
         self.told_ahead: set[str] = set()  # parts whose jobs need others', as last told
         self.last_report = self.started = time.monotonic()
         self.fit = True  # as our entry among the members says
-        self.front = Front(self)
+        self.front = self.jobs_known = Front(self)
         self.server = Server(self.front.handle, self.admission.door, use_of, self._no_place)
         self.background: set[asyncio.Task[Any]] = set()
 
+    # -- what the parts of a controller ask of one another ------------------------------------------------
+
+    def heard_worker(self) -> None:
+        self.last_report = time.monotonic()
+
+    def parts_here(self) -> int:
+        return len(self.owners)
+
+    def let_go(self, owner: Owner) -> None:
+        if self.owners.get(owner.team.name) is owner:
+            del self.owners[owner.team.name]
+
+    def metrics(self) -> Answer:
+        from ashdock.net import metrics  # with the first request for it: it costs start-up time and memory
+
+        return Answer(200, metrics.page(self), content_type=metrics.CONTENT_TYPE)
+
     def now(self) -> float:
         return time.monotonic() + self.offset
 
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -7,23 +7,25 @@
 import re
 import time
 from collections import OrderedDict
-from typing import TYPE_CHECKING, Any, NamedTuple
+from collections.abc import Coroutine, Mapping
+from typing import Any, NamedTuple, Protocol
 
-from ashdock.admission.desk import Refusal
+from ashdock.admission.desk import Admission, Refusal
 from ashdock.admission.shares import Use
+from ashdock.core.bounds import Bounds
 from ashdock.core.job import fitting, job_record, spec_of_record
 from ashdock.core.machine import capacity
 from ashdock.core.quota import can_ever
 from ashdock.net.budget import Turn
 from ashdock.net.http import Answer, Request
-from ashdock.net.state import Conflict, Entry, Unavailable
+from ashdock.net.mesh import Mesh
+from ashdock.net.state import Conflict, Entry, Replica, StateClient, Unavailable
 from ashdock.questions import Busy, Known, Questions, known_of
+from ashdock.settings import Shared, Workers
 from ashdock.wire import messages
+from ashdock.wire.frames import Relayed
 from ashdock.wire.messages import Malformed, Spec
 
-if TYPE_CHECKING:
-    from ashdock.controller import Controller
-
 log = logging.getLogger("ashdock.front")
 
 JOB = re.compile(r"^/v2/runs/([0-9A-Za-z_.-]{1,120})(/withdraw)?$")
@@ -59,13 +61,70 @@
     return Use.PROBE if path in ("/ready", "/metrics") else Use.USER
 
 
+class Answering(Protocol):
+    """Whoever owns a part here."""
+
+    async def report(self, report: messages.Report) -> messages.Orders | None: ...
+
+
+class Adopting(Protocol):
+    """Whoever leads here."""
+
+    def stray(self, report: messages.Report) -> None: ...
+
+
+class FrontHouse(Protocol):
+    """What of its controller the front uses, and no more."""
+
+    label: str
+    shared: Shared
+    workers: Workers
+    ttl_s: float
+    bounds: Bounds
+    admission: Admission
+    catalog: dict[str, messages.MachineType]
+    state: StateClient
+    machines: Replica
+    mesh: Mesh
+
+    @property
+    def owners(self) -> Mapping[str, Answering]: ...
+
+    @property
+    def leader(self) -> Adopting | None: ...
+
+    def now(self) -> float: ...
+
+    def ready(self) -> bool: ...
+
+    def state_fresh(self) -> bool: ...
+
+    def leader_label(self) -> str | None: ...
+
+    def owner_label(self, team: str) -> str | None: ...
+
+    def token_of(self, machine: str) -> int: ...
+
+    def heard_worker(self) -> None: ...
+
+    def jobs_seen(self, path: str, value: Any, stamp: int) -> None: ...
+
+    def counts(self, team: str, job: str) -> tuple[int, int]: ...
+
+    def metrics(self) -> Answer: ...
+
+    def spawn(self, job: Coroutine[Any, Any, Any]) -> None: ...
+
+    async def relay(self, label: str, body: bytes) -> Relayed | None: ...
+
+
 class Front:
-    def __init__(self, controller: Controller) -> None:
-        self.controller = controller
+    def __init__(self, house: FrontHouse) -> None:
+        self.house = house
         self.finals: OrderedDict[str, Final] = OrderedDict()
         self.reads: dict[str, asyncio.Future[Entry | None]] = {}
         self.looking: set[str] = set()  # jobs that others need, being looked up to tell who asks
-        self.questions = Questions(controller.state, ANSWER_S, self.saw)
+        self.questions = Questions(house.state, ANSWER_S, self.saw)
         self.redirected: dict[str, tuple[float, str]] = {}  # worker: when we last sent it to its owner, and which
         self.relaying: dict[str, float] = {}  # worker: relayed for since
         self.answered: dict[str, float] = {}  # worker: when an owner here last answered it
@@ -75,13 +134,11 @@
         if path == "/checkin":
             return await self.checkin(request.body) if request.method == "POST" else error(405, "POST only")
         if path == "/ready":
-            return Answer(200, b"{}") if self.controller.ready() else error(503, "not ready", 1)
+            return Answer(200, b"{}") if self.house.ready() else error(503, "not ready", 1)
         if path == "/v2/runs":
             return await self.submit(request.body) if request.method == "POST" else error(405, "POST only")
         if path == "/metrics":
-            from ashdock.net import metrics
-
-            return Answer(200, metrics.page(self.controller), content_type=metrics.CONTENT_TYPE)
+            return self.house.metrics()
         match = JOB.match(path)
         if match is None:
             return error(404, "no such page")
@@ -97,27 +154,27 @@
             spec = messages.spec_of(messages.decode_run(body))
         except Malformed as why:
             return error(400, str(why))
-        controller = self.controller
+        house = self.house
         final = self.finals.get(spec.id)
         if final:
             return Answer(200, self._final(spec.id, final))
-        if not controller.catalog:
+        if not house.catalog:
             return error(503, "the machine types are not known yet", 1)
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
         # More than we can write or compute: said at once, since the user would only wait here for nothing.
-        refusal_now = controller.admission.submission(controller.state.writes.behind_s(Turn.USER), time.monotonic())
+        refusal_now = house.admission.submission(house.state.writes.behind_s(Turn.USER), time.monotonic())
         if refusal_now:
             return refused(refusal_now)
-        now = controller.now()
+        now = house.now()
         record = job_record(spec, round(now, 3))
         refusal: Answer | None = None
         never = self.never(spec)
         if never:
             refusal = error(422, never)
-        elif len(messages.encode(record)) + RECORD_GROWS > controller.bounds.declared_bytes:
+        elif len(messages.encode(record)) + RECORD_GROWS > house.bounds.declared_bytes:
             refusal = error(422, "the job names more machine types, or jobs that it needs, than can be stored")
-        elif spec.needs and not controller.bounds.agreed:
+        elif spec.needs and not house.bounds.agreed:
             # A controller of the version before may own the part, now or soon, and would start the job at once.
             refusal = error(503, "jobs that need others are taken once every controller has the new version", 1)
         try:
@@ -132,7 +189,7 @@
         path = f"job/{spec.id}"
         writes = {path: record, f"work/{spec.team}/{spec.id}/job": record}
         try:
-            stamp = await self._bounded(controller.state.txn({path: 0}, writes, turn=Turn.USER))
+            stamp = await self._bounded(house.state.txn({path: 0}, writes, turn=Turn.USER))
         except Conflict:
             try:
                 entry = await self._read(spec.id)
@@ -144,7 +201,7 @@
         except Unavailable:
             return error(503, "the state service does not answer", self._retry_after())
         log.info("job %s of %s accepted: %s of %d, priority %d", spec.id, spec.team, spec.kind, spec.tasks, spec.priority)
-        controller.jobs_seen(path, record, stamp)
+        house.jobs_seen(path, record, stamp)
         return Answer(201, messages.encode({"id": spec.id, "status": "queued"}))
 
     async def _needs_refused(self, spec: Spec) -> Answer | None:
@@ -174,13 +231,13 @@
 
     def never(self, spec: Spec) -> str | None:
         """Why the job can never run, if so."""
-        controller = self.controller
-        team = next((team for team in controller.shared.teams if team.name == spec.team), None)
+        house = self.house
+        team = next((team for team in house.shared.teams if team.name == spec.team), None)
         if team is None:
             return f"no team {spec.team!r}"
         fits = [
             shape
-            for shape in controller.catalog.values()
+            for shape in house.catalog.values()
             if (spec.types is None or shape.label in spec.types)
             and (spec.zone is None or spec.zone in shape.yards)
             and capacity(shape, spec.cpus, spec.gpus, spec.memory_gb) > 0
@@ -201,7 +258,7 @@
             return Answer(200, self._final(job_id, final))
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
-        behind = self.controller.admission.question(time.monotonic())
+        behind = self.house.admission.question(time.monotonic())
         if behind:
             return refused(behind)
         try:
@@ -218,7 +275,7 @@
         return Answer(200, self._unfinished(job_id, known))
 
     async def withdraw(self, job_id: str) -> Answer:
-        controller = self.controller
+        house = self.house
         for _ in range(4):
             final = self.finals.get(job_id)
             if final:
@@ -232,14 +289,14 @@
                 if entry.value["status"] != "queued":
                     self.saw(job_id, entry.value, entry.stamp)
                     continue
-                record = {**entry.value, "status": "withdrawn", "cancelled_at": round(controller.now(), 3)}
-                record = fitting(record, controller.bounds.value_bytes)
+                record = {**entry.value, "status": "withdrawn", "cancelled_at": round(house.now(), 3)}
+                record = fitting(record, house.bounds.value_bytes)
                 path = entry.path
                 head = f"work/{spec_of_record(record).team}/{job_id}/job"
                 # Durable first. Every start names the job's stamp, so none can be committed after this.
-                stamp = await self._bounded(controller.state.txn({path: entry.stamp}, {path: record, head: record}, turn=Turn.USER))
+                stamp = await self._bounded(house.state.txn({path: entry.stamp}, {path: record, head: record}, turn=Turn.USER))
                 log.info("job %s withdrawn", job_id)
-                controller.jobs_seen(path, record, stamp)
+                house.jobs_seen(path, record, stamp)
             except Conflict:
                 continue
             except Unavailable:
@@ -248,11 +305,11 @@
 
     def _state_usable(self) -> bool:
         """While the state service is known not to answer, users are told so at once."""
-        state = self.controller.state
-        return state.bad_since is None or time.monotonic() - state.bad_since < self.controller.ttl_s / 8
+        state = self.house.state
+        return state.bad_since is None or time.monotonic() - state.bad_since < self.house.ttl_s / 8
 
     def _retry_after(self) -> int:
-        return 1 if self.controller.state_fresh() else 2
+        return 1 if self.house.state_fresh() else 2
 
     async def _bounded(self, call: Any) -> Any:
         """Given up in time for the user to hear of it: a poll waits 2 s."""
@@ -275,7 +332,7 @@
         # Only readers who come before the request is sent share it: an answer on its way may be too old.
         await asyncio.sleep(0)
         self.reads.pop(job_id, None)
-        return await self.controller.state.get(f"job/{job_id}", turn=Turn.USER)
+        return await self.house.state.get(f"job/{job_id}", turn=Turn.USER)
 
     def saw(self, job_id: str, value: dict[str, Any], stamp: int) -> None:
         """A record of it came by."""
@@ -294,7 +351,7 @@
         """How a job ended and when, as far as that was noted; None if it has not."""
         final = self.finals.get(job_id)
         if final is None:
-            entry = await self.controller.state.get(f"job/{job_id}")
+            entry = await self.house.state.get(f"job/{job_id}")
             if entry is not None:
                 self.saw(job_id, entry.value, entry.stamp)
             final = self.finals.get(job_id)
@@ -309,7 +366,7 @@
         return self._final(job_id, final) if final else self._unfinished(job_id, known_of(entry.value, entry.stamp))
 
     def _unfinished(self, job_id: str, known: Known) -> bytes:
-        done, running = self.controller.counts(known.team, job_id)
+        done, running = self.house.counts(known.team, job_id)
         reason = known.reason or (self._waits(known.needs) if not done and not running else None)
         return messages.status_answer(job_id, "running" if running else "queued", done, running, reason)
 
@@ -319,7 +376,7 @@
         for need in left:
             if need not in self.questions.known and need not in self.looking and len(self.looking) < NEEDS_AT_ONCE:
                 self.looking.add(need)
-                self.controller.spawn(self._look_up(need))
+                self.house.spawn(self._look_up(need))
         left = [need for need in left if need in self.questions.known]
         more = f" and {len(left) - NEEDS_NAMED} more" if len(left) > NEEDS_NAMED else ""
         return f"waits for {', '.join(left[:NEEDS_NAMED])}{more}" if left else None
@@ -339,14 +396,14 @@
             report = messages.decode_report(body)
         except Malformed as why:
             return error(400, str(why))
-        controller = self.controller
+        house = self.house
         if not relayed:
-            controller.last_report = time.monotonic()
-        entry = controller.machines.entries.get(f"machine/{report.berth}")
+            house.heard_worker()
+        entry = house.machines.entries.get(f"machine/{report.berth}")
         if entry is None or entry.value["p"] == "":
             return self._ownerless(report, known=entry is not None)
         team = entry.value["p"]
-        owner = controller.owners.get(team)
+        owner = house.owners.get(team)
         if owner is not None:
             orders = await owner.report(report)
             if orders is not None:
@@ -356,40 +413,40 @@
                 self.answered[report.berth] = time.monotonic()
                 return Answer(200, messages.encode(orders))
             # It waited for a part that was being read: the machine may have gone to another team meanwhile.
-            entry = controller.machines.entries.get(f"machine/{report.berth}")
+            entry = house.machines.entries.get(f"machine/{report.berth}")
             team = entry.value["p"] if entry else ""
-        label = controller.owner_label(team)
-        if label is None or label == controller.label or relayed:
+        label = house.owner_label(team)
+        if label is None or label == house.label or relayed:
             return error(503, "not the owner")
         return await self._elsewhere(report, body, label, team)
 
     def _ownerless(self, report: messages.Report, known: bool) -> Answer:
-        leader = self.controller.leader
+        leader = self.house.leader
         if leader and not known:
             leader.stray(report)
-        label = self.controller.leader_label()
-        if leader is None and label and label != self.controller.label:
+        label = self.house.leader_label()
+        if leader is None and label and label != self.house.label:
             return Answer(421, messages.encode({"harbour": label}))
         return error(503, "lent to nobody yet")
 
     async def _elsewhere(self, report: messages.Report, body: bytes, label: str, team: str) -> Answer:
         """Send a worker to its owner; if it is back here soon, it can't reach the owner, so pass its report on."""
-        controller = self.controller
+        house = self.house
         now = time.monotonic()
-        lease = controller.workers.lease_s
+        lease = house.workers.lease_s
         since = self.relaying.get(report.berth)
         at, where = self.redirected.get(report.berth, (-1e9, ""))
         came_back = where == label and 0.6 < now - at < lease * 0.75
         # One that knows the token of the owner in office has been there, and would not be here had it been answered.
         # Sent back, it would wait out another report there, and by then its lease is over. But one that we answered a
         # report ago has not left us: its machine has just gone to another part, whose orders told it the token.
-        stayed = now - self.answered.get(report.berth, -1e9) < 1.5 * controller.workers.report_s
-        was_there = not stayed and report.warrant >= controller.token_of(report.berth)
-        hears = controller.mesh.hears(label, controller.ttl_s)
+        stayed = now - self.answered.get(report.berth, -1e9) < 1.5 * house.workers.report_s
+        was_there = not stayed and report.warrant >= house.token_of(report.berth)
+        hears = house.mesh.hears(label, house.ttl_s)
         # Relayed for as long as a lease lasts, it tries its owner again.
         home = since is not None and now - since >= lease
         if not home and ((was_there and hears) or came_back or since is not None):
-            answer = await controller.relay(label, body)
+            answer = await house.relay(label, body)
             if answer is not None and answer.status == 200:
                 if since is None:
                     log.info("passing on the reports of %s to %s", report.berth, label)
@@ -398,11 +455,11 @@
                     self.relaying[report.berth] = now
                 return Answer(200, answer.body)
             # Up to two seconds have gone by: whoever did not answer may have been replaced.
-            label = controller.owner_label(team) or label
+            label = house.owner_label(team) or label
         self.relaying.pop(report.berth, None)
         if was_there and not hears and now - at > lease / 2:
             # We are on the wrong side ourselves: another may hear its owner.
-            label = controller.mesh.other_than(label, controller.ttl_s) or label
+            label = house.mesh.other_than(label, house.ttl_s) or label
         self.redirected[report.berth] = (now, label)
         if len(self.redirected) > 5000:
             self.redirected.clear()
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -4,21 +4,20 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from ashdock.admission.processor import CHOOSING, pause_s
 from ashdock.again import walk
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
+from ashdock.core.bounds import Bounds
 from ashdock.core.machine import images_of, trimmed
 from ashdock.core.telling import Owed, Picture, Recalled
 from ashdock.net.budget import Turn
-from ashdock.net.cloud import CloudTrouble, NoCapacity
-from ashdock.net.state import Conflict, Entry, Unavailable
+from ashdock.net.cloud import CloudClient, CloudTrouble, NoCapacity
+from ashdock.net.state import Conflict, Entry, Replica, StateClient, Unavailable
+from ashdock.settings import Operators, Shared, Workers
 from ashdock.wire.frames import Give, Yield
-from ashdock.wire.messages import Report
-
-if TYPE_CHECKING:
-    from ashdock.controller import Controller
+from ashdock.wire.messages import MachineType, Report
 
 log = logging.getLogger("ashdock.leader")
 
@@ -45,21 +44,49 @@
     return max((now - rented[name] - age for name, age in listed if name in rented), default=0.0)
 
 
+class LeaderHouse(Protocol):
+    """What of its controller the leader uses, and no more."""
+
+    label: str
+    shared: Shared
+    operators: Operators
+    workers: Workers
+    tick_s: float
+    charters: int
+    bounds: Bounds
+    catalog: dict[str, MachineType]
+    state: StateClient
+    cloud: CloudClient
+    machines: Replica
+
+    def now(self) -> float: ...
+
+    def state_fresh(self) -> bool: ...
+
+    def fit_members(self) -> list[str]: ...
+
+    def owner_label(self, team: str) -> str | None: ...
+
+    def pictures(self) -> dict[str, Picture]: ...
+
+    def to_owner(self, team: str, frame: Yield | Recalled | Give | Owed) -> None: ...
+
+
 class Leader:
     """Lives as long as our hold on the key `leader`."""
 
-    def __init__(self, controller: Controller, stamp: int) -> None:
-        self.controller = controller
+    def __init__(self, house: LeaderHouse, stamp: int) -> None:
+        self.house = house
         self.stamp = stamp
-        self.allotment = Allotment(controller.shared, controller.settings.operators.renting, controller.catalog)
+        self.allotment = Allotment(house.shared, house.operators.renting, house.catalog)
         self.strays: dict[str, tuple[Report, float]] = {}  # reported and not recorded, and since when
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
-        self.charters_before = controller.charters  # a reign of ours that an outage ended may have left some
+        self.charters_before = house.charters  # a reign of ours that an outage ended may have left some
         self.listed: dict[str, float] = {}  # machine: when the cloud first listed it
         self.marking: set[str] = set()  # machines that are being given up
         self.unrecorded: dict[str, float] = {}  # machine: since when it is listed without a record
-        self.lag_s = controller.shared.cloud.list_lag_s  # of the cloud's list, as far as it shows
+        self.lag_s = house.shared.cloud.list_lag_s  # of the cloud's list, as far as it shows
         self.over = False
         self.jobs: set[asyncio.Task[None]] = set()
         self.tasks = [asyncio.create_task(self._guard(loop)) for loop in (self._finish_charters, self._choose, self._clean, self._look)]
@@ -70,7 +97,7 @@
             task.cancel()
 
     async def _guard(self, loop: Any) -> None:
-        pause = self.controller.tick_s * 2
+        pause = self.house.tick_s * 2
         while not self.over:
             try:
                 again: float | None = await loop()
@@ -96,65 +123,65 @@
         strays = [
             Lent(name, "", report.hull, report.yard, report.loaners, 0, "")
             for name, (report, _) in self.strays.items()
-            if f"machine/{name}" not in self.controller.machines.entries
+            if f"machine/{name}" not in self.house.machines.entries
         ]
         return strays + [
             Lent(
                 e.path.split("/", 1)[1], e.value["p"], e.value["t"], e.value["z"], e.value["s"], e.stamp, e.value.get("x", ""),
                 frozenset(image for image, _ in images_of(e.value)),
             )
-            for e in self.controller.machines.entries.values()
+            for e in self.house.machines.entries.values()
         ]
 
     async def _choose(self) -> float:
-        controller = self.controller
-        now = controller.now()
-        if not controller.state_fresh() or not controller.machines.ready.is_set():
-            return controller.tick_s
-        pictures: dict[str, Picture] = controller.pictures()
-        owners = {team.name: controller.owner_label(team.name) or "" for team in controller.shared.teams}
+        house = self.house
+        now = house.now()
+        if not house.state_fresh() or not house.machines.ready.is_set():
+            return house.tick_s
+        pictures: dict[str, Picture] = house.pictures()
+        owners = {team.name: house.owner_label(team.name) or "" for team in house.shared.teams}
         decisions = self.allotment.decide(self._lent(), pictures, now)
         lend: dict[str, str] = {}
-        for decision in decisions + self.allotment.balance(owners, controller.fit_members(), pictures, now):
+        for decision in decisions + self.allotment.balance(owners, house.fit_members(), pictures, now):
             match decision:
                 case Rent():
                     self._spawn(self._rent(decision))
                 case Move(part, machine, to):
                     if part:
-                        controller.to_owner(part, Yield(part, machine, to))
+                        house.to_owner(part, Yield(part, machine, to))
                     else:
                         lend[machine] = to
                 case Recalled():
                     log.info("team %s is to give %s to %s", decision.part, ",".join(decision.machines), decision.to)
-                    controller.to_owner(decision.part, decision)
+                    house.to_owner(decision.part, decision)
                 case Owed():
                     log.info("team %s is to pass on %d to %s as they come free", decision.part, decision.number, decision.to)
-                    controller.to_owner(decision.part, decision)
+                    house.to_owner(decision.part, decision)
                 case GivePart(part, to):
                     log.info("part %s is to go to controller %s", part, to)
-                    controller.to_owner(part, Give(part, to))
+                    house.to_owner(part, Give(part, to))
                 case Release(machines):
                     self._spawn(self._mark_all(machines, "returned"))
         if lend:
             self._spawn(self._assign(lend))
-        return max(controller.tick_s, pause_s(controller.now() - now, CHOOSING))
+        return max(house.tick_s, pause_s(house.now() - now, CHOOSING))
 
     def _entry(self, name: str) -> Entry | None:
-        return self.controller.machines.entries.get(f"machine/{name}")
+        return self.house.machines.entries.get(f"machine/{name}")
 
     async def _write_all(self, records: dict[str, tuple[int, dict[str, Any] | None]]) -> list[str]:
         """Write machines' records (None deletes) that still have the stamps given, many to a transaction; those written."""
         names = list(records)
         written: list[str] = []
         while names:
-            most = max(1, min(self.controller.bounds.ops, int(self.controller.state.writes.per_s / 2)))
+            most = max(1, min(self.house.bounds.ops, int(self.house.state.writes.per_s / 2)))
             written += await self._write_some({name: records[name] for name in names[:most]})
             names = names[most:]
         return written
 
     async def _write_some(self, records: dict[str, tuple[int, dict[str, Any] | None]]) -> list[str]:
-        state = self.controller.state
-        most = self.controller.bounds.value_bytes
+        state = self.house.state
+        most = self.house.bounds.value_bytes
         left = {name: (stamp, value and trimmed(value, most)) for name, (stamp, value) in records.items()}
         while left:
             try:
@@ -169,7 +196,7 @@
                 left = {name: record for name, record in left.items() if name not in lost}
                 continue
             for name, (_, value) in left.items():
-                self.controller.machines.wrote(f"machine/{name}", value, revision)
+                self.house.machines.wrote(f"machine/{name}", value, revision)
             return list(left)
         return []
 
@@ -181,7 +208,7 @@
                 records[name] = (entry.stamp, {**entry.value, "p": to})
             elif entry is None and name in self.strays:
                 report, _ = self.strays.pop(name)
-                value = self._value(report.hull, report.yard, report.loaners, report.address, to, self.controller.now())
+                value = self._value(report.hull, report.yard, report.loaners, report.address, to, self.house.now())
                 records[name] = (0, {**value, "n": report.tenure})  # known to be up, and in which session
         try:
             for name in await self._write_all(records):
@@ -218,30 +245,30 @@
     # -- renting ---------------------------------------------------------------------------------------
 
     async def _rent(self, rent: Rent) -> None:
-        controller = self.controller
-        controller.charters += 1
+        house = self.house
+        house.charters += 1
         # Unique for good: no other process has led with this stamp, and in ours the number only grows.
-        name = f"{controller.label}.{self.stamp}.{controller.charters}"
+        name = f"{house.label}.{self.stamp}.{house.charters}"
         path = f"charter/{name}"
         value = {"teams": [list(team) for team in rent.teams], "t": rent.type, "z": rent.zone, "s": rent.spot}
         self.renting_names.add(name)
         try:
-            stamp = await controller.state.txn({path: 0, "leader": self.stamp}, {path: value})
+            stamp = await house.state.txn({path: 0, "leader": self.stamp}, {path: value})
         except (Conflict, Unavailable) as why:
             log.debug("charter %s not written: %s", name, why)
             self.renting_names.discard(name)
-            self.allotment.not_rented(rent, controller.now(), no_capacity=False)
+            self.allotment.not_rented(rent, house.now(), no_capacity=False)
             return
         await self._carry_out(name, value, stamp, ours=rent)
 
     async def _carry_out(self, name: str, value: dict[str, Any], stamp: int, ours: Rent | None) -> None:
-        controller = self.controller
+        house = self.house
         names: list[str] | None = None
         refused = False
         rent = rent_of(value)
         for _ in range(5):
             try:
-                names = await controller.cloud.rent(name, rent.type, rent.zone, rent.spot, rent.number)
+                names = await house.cloud.rent(name, rent.type, rent.zone, rent.spot, rent.number)
                 break
             except NoCapacity:
                 refused = True
@@ -249,10 +276,10 @@
             except CloudTrouble as why:
                 # The name makes a repeated request harmless: it rents nothing twice.
                 log.debug("charter %s: %s", name, why)
-                await asyncio.sleep(controller.workers.lease_s / 10)
+                await asyncio.sleep(house.workers.lease_s / 10)
         log.info("charter %s: %s of %s %s in %s for %s: %s", name, rent.number, "spot" if rent.spot else "ordinary", rent.type,
                  rent.zone, ",".join(team for team, _ in rent.teams), names or ("no capacity" if refused else "no answer"))  # fmt: skip
-        now = controller.now()
+        now = house.now()
         if ours and names is not None:
             self.allotment.rented(ours, names, now)
         if names:
@@ -261,7 +288,7 @@
             self.allotment.not_rented(ours, now, refused)
         self.renting_names.discard(name)
         try:
-            await controller.state.txn({f"charter/{name}": stamp}, {f"charter/{name}": None}, turn=Turn.PATIENT)
+            await house.state.txn({f"charter/{name}": stamp}, {f"charter/{name}": None}, turn=Turn.PATIENT)
         except (Conflict, Unavailable) as why:
             log.debug("charter %s not removed: %s", name, why)
 
@@ -276,17 +303,17 @@
                 await self._write_all(left)  # type: ignore[arg-type]
                 return
             except Unavailable:
-                await asyncio.sleep(self.controller.tick_s)
+                await asyncio.sleep(self.house.tick_s)
                 left = {name: record for name, record in left.items() if self._entry(name) is None}
 
     def _ours(self, name: str) -> bool:
         """Whether we have set out to rent it ourselves, since this reign began."""
         head, _, number = name.rpartition(".")
-        return head == f"{self.controller.label}.{self.stamp}" and int(number) > self.charters_before
+        return head == f"{self.house.label}.{self.stamp}" and int(number) > self.charters_before
 
     async def _finish_charters(self) -> float | None:
         """What an earlier leader set out to rent: the same request again tells what came of it."""
-        entries, _ = await self.controller.state.under("charter/")
+        entries, _ = await self.house.state.under("charter/")
         # Our own may have been written, carried out and removed since this was read: repeated, the cloud names machines again that
         # may have been released meanwhile, and each would be recorded once more.
         for entry in entries:
@@ -299,27 +326,27 @@
 
     async def _clean(self) -> float:
         """Release what was given up. The answer proves that the machine and all on it are gone."""
-        controller = self.controller
-        doomed = [(e.path.split("/", 1)[1], e.stamp) for e in controller.machines.entries.values() if e.value.get("x")]
-        if doomed and controller.state_fresh():
-            doomed = doomed[: min(100, controller.bounds.ops)]
-            await controller.cloud.release([name for name, _ in doomed])
-            now = controller.now()
+        house = self.house
+        doomed = [(e.path.split("/", 1)[1], e.stamp) for e in house.machines.entries.values() if e.value.get("x")]
+        if doomed and house.state_fresh():
+            doomed = doomed[: min(100, house.bounds.ops)]
+            await house.cloud.release([name for name, _ in doomed])
+            now = house.now()
             self.released.update((name, now) for name, _ in doomed)
             await self._write_all({name: (stamp, None) for name, stamp in doomed})
             log.info("released %s", ",".join(name for name, _ in doomed))
         await self._adopt_strays()
-        return max(controller.tick_s, 1 / controller.shared.cloud.rps)
+        return max(house.tick_s, 1 / house.shared.cloud.rps)
 
     def stray(self, report: Report) -> None:
-        now = self.controller.now()
-        if len(self.strays) < 2000 and report.hull in self.controller.catalog and not self._late(report.berth, now):
+        now = self.house.now()
+        if len(self.strays) < 2000 and report.hull in self.house.catalog and not self._late(report.berth, now):
             _, since = self.strays.get(report.berth, (None, now))
             self.strays[report.berth] = (report, since)
 
     def _late(self, name: str, now: float) -> bool:
         """Whether it may be a word of a machine that was released a moment ago."""
-        return now - self.released.get(name, -1e9) < 4 * self.lag_s + self.controller.workers.lease_s
+        return now - self.released.get(name, -1e9) < 4 * self.lag_s + self.house.workers.lease_s
 
     @staticmethod
     def _value(kind: str, zone: str, spot: bool, where: str, part: str, now: float) -> dict[str, Any]:
@@ -327,7 +354,7 @@
 
     async def _adopt_strays(self) -> None:
         """What nobody has wanted for a while is recorded all the same: nothing unrecorded is ever returned."""
-        now = self.controller.now()
+        now = self.house.now()
         # Adopting waits, and meanwhile a stray may be lent and so recorded: a list made before ended this loop with a KeyError.
         for name, (report, since) in walk(self.strays):
             if self._entry(name) is not None:
@@ -338,27 +365,27 @@
 
     async def _adopt(self, name: str, kind: str, zone: str, spot: bool, where: str) -> None:
         path = f"machine/{name}"
-        controller = self.controller
-        now = controller.now()
-        if path in controller.machines.entries or kind not in controller.catalog:
+        house = self.house
+        now = house.now()
+        if path in house.machines.entries or kind not in house.catalog:
             return
         if self._late(name, now):
             return
         value = self._value(kind, zone, spot, where, "", now)
         try:
-            stamp = await controller.state.txn({path: 0}, {path: value})
+            stamp = await house.state.txn({path: 0}, {path: value})
             log.info("machine %s adopted", name)
-            controller.machines.wrote(path, value, stamp)
+            house.machines.wrote(path, value, stamp)
         except Conflict:
             pass
 
     async def _look(self) -> float:
-        controller = self.controller
-        asked = controller.now()
-        hosts = await controller.cloud.hosts()
-        now = controller.now()
-        rented = {e.path.split("/", 1)[1]: e.value["at"] for e in controller.machines.entries.values() if e.value.get("r")}
-        self.lag_s = max(self.lag_s * 0.9, lag_of([(host.id, host.age_s) for host in hosts], rented, now), controller.shared.cloud.list_lag_s)
+        house = self.house
+        asked = house.now()
+        hosts = await house.cloud.hosts()
+        now = house.now()
+        rented = {e.path.split("/", 1)[1]: e.value["at"] for e in house.machines.entries.values() if e.value.get("r")}
+        self.lag_s = max(self.lag_s * 0.9, lag_of([(host.id, host.age_s) for host in hosts], rented, now), house.shared.cloud.list_lag_s)
         sure_s = 3 * self.lag_s
         for name in gone_from(self.listed, [host.id for host in hosts], now, sure_s):
             # Taken without notice. Its release is the proof; without it, its tasks would wait out its silence.
@@ -383,4 +410,4 @@
         for name, at in list(self.released.items()):
             if now - at > 20 * self.lag_s + 60:
                 del self.released[name]
-        return max(controller.shared.cloud.list_lag_s, 8 / controller.shared.cloud.rps)
+        return max(house.shared.cloud.list_lag_s, 8 / house.shared.cloud.rps)
--- a/ashdock/net/metrics.py
+++ b/ashdock/net/metrics.py
@@ -5,35 +5,64 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
+from ashdock.admission.desk import Admission
 from ashdock.admission.shares import Use
+from ashdock.core.part import Part
 from ashdock.net.budget import Turn
-
-if TYPE_CHECKING:
-    from ashdock.controller import Controller
+from ashdock.net.cloud import CloudClient
+from ashdock.net.http import Server
+from ashdock.net.mesh import Mesh
+from ashdock.net.state import StateClient
+from ashdock.net.worker import WorkerClient
+from ashdock.upgrade import Upgrade
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
+class Owning(Protocol):
+    part: Part | None
+
+
+class Seen(Protocol):
+    """What is shown of a controller."""
+
+    admission: Admission
+    cloud: CloudClient
+    mesh: Mesh
+    server: Server
+    state: StateClient
+    upgrade: Upgrade
+    worker_client: WorkerClient
+
+    @property
+    def owners(self) -> Mapping[str, Owning]: ...
+
+    @property
+    def leader(self) -> object | None: ...
+
+    def ready(self) -> bool: ...
+
+
 class Picture(Collector):
-    def __init__(self, controller: Controller) -> None:
-        self.controller = controller
+    def __init__(self, house: Seen) -> None:
+        self.house = house
 
     def collect(self) -> Iterable[Metric]:
-        controller = self.controller
+        house = self.house
         plain = {
-            "ashdock_ready": ("1 while this controller takes requests", float(controller.ready())),
-            "ashdock_leads": ("1 while this controller leads", float(controller.leader is not None)),
-            "ashdock_all_upgraded": ("1 once every controller is known to be of the new version", float(controller.upgrade.agreed)),
-            "ashdock_state_age_seconds": ("since the state service last answered", controller.state.silent_for),
-            "ashdock_user_connections": ("open connections", float(len(controller.server.open))),
+            "ashdock_ready": ("1 while this controller takes requests", float(house.ready())),
+            "ashdock_leads": ("1 while this controller leads", float(house.leader is not None)),
+            "ashdock_all_upgraded": ("1 once every controller is known to be of the new version", float(house.upgrade.agreed)),
+            "ashdock_state_age_seconds": ("since the state service last answered", house.state.silent_for),
+            "ashdock_user_connections": ("open connections", float(len(house.server.open))),
         }
         for name, (text, value) in plain.items():
             yield GaugeMetricFamily(name, text, value=value)
@@ -41,7 +70,7 @@
         tasks = GaugeMetricFamily("ashdock_tasks", "their tasks", labels=["team", "state"])
         machines = GaugeMetricFamily("ashdock_machines", "machines lent to the parts owned here", labels=["team", "phase"])
         tokens = GaugeMetricFamily("ashdock_part_token", "stamp of the claim", labels=["team"])
-        for team, owner in controller.owners.items():
+        for team, owner in house.owners.items():
             part = owner.part
             if part is None:
                 continue
@@ -59,13 +88,13 @@
 
     def _admission(self) -> Iterable[Metric]:
         """Who has what of what can run short, and who was told to come back."""
-        controller = self.controller
-        desk, door, now = controller.admission, controller.admission.door, time.monotonic()
+        house = self.house
+        desk, door, now = house.admission, house.admission.door, time.monotonic()
         held = {use: door.count(use) for use in (Use.NEW, Use.USER, Use.PROBE, Use.WORKER)}
         held |= {
-            Use.MESH: len(controller.mesh.links) + sum(peer.writer is not None for peer in controller.mesh.peers.values()),
-            Use.STATE: controller.state.sockets, Use.CLOUD: controller.cloud.client.sockets,
-            Use.ORDERS: controller.worker_client.sockets,
+            Use.MESH: len(house.mesh.links) + sum(peer.writer is not None for peer in house.mesh.peers.values()),
+            Use.STATE: house.state.sockets, Use.CLOUD: house.cloud.client.sockets,
+            Use.ORDERS: house.worker_client.sockets,
         }  # fmt: skip
         most = {**desk.shares.certain, Use.USER: desk.shares.users_most(), Use.WORKER: desk.shares.workers_most(held[Use.USER])}
         sockets = GaugeMetricFamily("ashdock_sockets", "sockets held, by what for", labels=["use"])
@@ -79,18 +108,18 @@
         refused = CounterMetricFamily("ashdock_refused", "told to come back, and for want of what", labels=["asked", "short_of"])
         for (asked, of), number in desk.refused.items():
             refused.add_metric([asked, of.value], number)
-        refused.add_metric(["order", "sockets"], controller.worker_client.refused)
+        refused.add_metric(["order", "sockets"], house.worker_client.refused)
         short = GaugeMetricFamily("ashdock_short", "1 while something runs short", labels=["of"])
         for of, shortage in desk.shortages.items():
             short.add_metric([of.value], float(shortage.began is not None))
         behind = GaugeMetricFamily("ashdock_writes_behind_seconds", "how long what waits to be written will take", labels=["turn"])
         for turn in Turn:
-            behind.add_metric([turn.name.lower()], controller.state.writes.behind_s(turn))
+            behind.add_metric([turn.name.lower()], house.state.writes.behind_s(turn))
         yield from (sockets, shares, ended, refused, short, behind)
         yield GaugeMetricFamily("ashdock_processor_late_seconds", "how late timers fire, of late", value=desk.processor.late_s(now))
 
 
-def page(controller: Controller) -> bytes:
+def page(house: Seen) -> bytes:
     registry = CollectorRegistry()
-    registry.register(Picture(controller))
+    registry.register(Picture(house))
     return generate_latest(registry)
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -7,20 +7,19 @@
 import random
 from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from ashdock.admission.processor import pass_share, pause_s
 from ashdock.again import Overtaken, held
+from ashdock.core.bounds import Bounds
 from ashdock.core.machine import Machine
 from ashdock.core.part import Part
 from ashdock.net.budget import Turn
 from ashdock.net.http import NoAnswer
-from ashdock.net.state import Conflict, Unavailable
-from ashdock.settings import Team
-from ashdock.wire.messages import Order, Orders, Report
-
-if TYPE_CHECKING:
-    from ashdock.controller import Controller
+from ashdock.net.state import Conflict, Replica, StateClient, Unavailable
+from ashdock.net.worker import WorkerClient
+from ashdock.settings import Operators, Shared, Team, Workers
+from ashdock.wire.messages import MachineType, Order, Orders, Report
 
 log = logging.getLogger("ashdock.owner")
 
@@ -34,9 +33,56 @@
     LOST = "lost"
 
 
+class JobsKnown(Protocol):
+    """What this controller remembers of jobs, whoever owns them."""
+
+    def saw(self, job_id: str, value: dict[str, Any], stamp: int) -> None: ...
+
+    async def outcome(self, job_id: str) -> tuple[str, float | None] | None: ...
+
+
+class OwnerHouse(Protocol):
+    """What of its controller the owner of a part uses, and no more."""
+
+    label: str
+    shared: Shared
+    operators: Operators
+    workers: Workers
+    tick_s: float
+    gather_s: float
+    rng: random.Random
+    bounds: Bounds
+    catalog: dict[str, MachineType]
+    state: StateClient
+    machines: Replica
+    parts: Replica
+    worker_client: WorkerClient
+
+    @property
+    def jobs_known(self) -> JobsKnown: ...
+
+    def now(self) -> float: ...
+
+    def may_renew(self) -> bool: ...
+
+    def state_fresh(self) -> bool: ...
+
+    def fit_members(self) -> list[str]: ...
+
+    def parts_here(self) -> int: ...
+
+    def let_go(self, owner: Owner) -> None: ...
+
+    def jobs_seen(self, path: str, value: Any, stamp: int) -> None: ...
+
+    def tell_claims(self) -> None: ...
+
+    def tell_leader(self, part: Part) -> None: ...
+
+
 class Owner:
-    def __init__(self, controller: Controller, team: Team, stamp: int) -> None:
-        self.controller = controller
+    def __init__(self, house: OwnerHouse, team: Team, stamp: int) -> None:
+        self.house = house
         self.team = team
         self.claimed_from = stamp
         self.phase = OwnerPhase.CLAIMING
@@ -57,8 +103,8 @@
     def _claimed(self, stamp: int) -> None:
         self.phase = OwnerPhase.LOADING
         self.part = Part(
-            self.team, stamp, self.controller.shared, self.controller.settings.operators, self.controller.catalog,
-            random.Random(self.controller.rng.random()), self.controller.bounds,
+            self.team, stamp, self.house.shared, self.house.operators, self.house.catalog,
+            random.Random(self.house.rng.random()), self.house.bounds,
         )  # fmt: skip
 
     def _loaded(self) -> None:
@@ -78,7 +124,7 @@
             return
         log.info("part %s is no longer ours: %s", self.team.name, why)
         self.phase = OwnerPhase.LOST
-        self.controller.owners.pop(self.team.name, None)
+        self.house.let_go(self)
         self.wake.set()
 
     # -- what others tell us -----------------------------------------------------------------------
@@ -98,14 +144,14 @@
     async def report(self, report: Report) -> Orders | None:
         if self.phase is not OwnerPhase.ACTIVE:
             try:
-                async with asyncio.timeout(self.controller.workers.report_s / 2):
+                async with asyncio.timeout(self.house.workers.report_s / 2):
                     await self.ready.wait()
             except TimeoutError:
                 return None
         part = self.part
-        if self.phase is not OwnerPhase.ACTIVE or part is None or not self.controller.may_renew():
+        if self.phase is not OwnerPhase.ACTIVE or part is None or not self.house.may_renew():
             return None
-        orders = part.reports.on_report(report, self.controller.now(), checkin=True)
+        orders = part.reports.on_report(report, self.house.now(), checkin=True)
         if orders is None:
             return None
         if part.stale or part.ledger.touched or part.ledger.changing or part.urgent:
@@ -124,7 +170,7 @@
                     async with asyncio.timeout(self._pause()):
                         await self.wake.wait()
                         # Things come in bunches: what arrives together is decided and written together.
-                        await asyncio.sleep(self.controller.gather_s)
+                        await asyncio.sleep(self.house.gather_s)
                 except TimeoutError:
                     pass
         except Conflict as why:
@@ -140,13 +186,13 @@
     async def _claim(self) -> None:
         name = self.team.name
         path = f"part/{name}"
-        state = self.controller.state
-        value = {"owner": self.controller.label}
+        state = self.house.state
+        value = {"owner": self.house.label}
         stamp = await state.txn({path: self.claimed_from}, {path: value})
-        self.controller.parts.wrote(path, value, stamp)
+        self.house.parts.wrote(path, value, stamp)
         held(self.phase is OwnerPhase.CLAIMING, "given up while it was being claimed")
         self._claimed(stamp)
-        self.controller.tell_claims()
+        self.house.tell_claims()
         part = self.part
         assert part
         # Read after the claim: no earlier owner can write from here on, so this is all there is.
@@ -156,10 +202,10 @@
         # Another may have claimed it meanwhile: one that let go here used to come back to life as nobody's owner.
         held(self.phase is OwnerPhase.LOADING, "given up while it was being read")
         mine = [(entry.path.split("/", 1)[1], entry.value, entry.stamp) for entry in machines if entry.value["p"] == name]
-        part.load(mine, list(work), list(parks), self.controller.now())
+        part.load(mine, list(work), list(parks), self.house.now())
         for job in part.jobs.values():
             if job.active:  # one whose outcome is still to be written is not over for its user yet
-                self.controller.front.saw(job.id, job.record(), job.stamp)
+                self.house.jobs_known.saw(job.id, job.record(), job.stamp)
         part.seen = max(part.seen, seen)
         self._loaded()
 
@@ -169,67 +215,67 @@
         if self.give_to is not None:
             await self._give(part, self.give_to)
             return
-        now = self.turned_at = self.controller.now()
+        now = self.turned_at = self.house.now()
         part.tick(now)
         if part.pipelines.unread and (self.reading is None or self.reading.done()):
             self.reading = asyncio.create_task(self._read_needs(part))
-        if not self.controller.state_fresh():
+        if not self.house.state_fresh():
             part.wants = []
         elif self._pass_due(part, now):
             self.passed_at = now
             part.passes.schedule(now)
             # No more than its share of the processor goes into passes, however large the part.
-            ended = self.controller.now()
-            self.pass_after = ended + pause_s(ended - now, pass_share(len(self.controller.owners)))
-        self.controller.tell_leader(part)
+            ended = self.house.now()
+            self.pass_after = ended + pause_s(ended - now, pass_share(self.house.parts_here()))
+        self.house.tell_leader(part)
         await self._commit(part)
         self._send_urgent(part)
 
     def _pass_due(self, part: Part, now: float) -> bool:
-        return now >= self.pass_after and (part.stale or now - self.passed_at > self.controller.tick_s)
+        return now >= self.pass_after and (part.stale or now - self.passed_at > self.house.tick_s)
 
     async def _read_needs(self, part: Part) -> None:
         """The watch brings every outcome from here on; what was over before has to be looked up. Its word goes for good,
         whatever the watch brings meanwhile."""
-        front = self.controller.front
+        jobs = self.house.jobs_known
         unread = part.pipelines.unread
         while unread and self.phase is OwnerPhase.ACTIVE:
             needs = list(unread)[:READS_AT_ONCE]
             try:
-                outcomes = await asyncio.gather(*map(front.outcome, needs))
+                outcomes = await asyncio.gather(*map(jobs.outcome, needs))
             except Unavailable:
                 return  # asked again with the next turn
             for need, outcome in zip(needs, outcomes, strict=True):
                 unread.pop(need, None)
                 if outcome is not None:
-                    part.pipelines.settled(need, *outcome, self.controller.now())
+                    part.pipelines.settled(need, *outcome, self.house.now())
                     self.wake.set()
 
     def _pause(self) -> float:
         """Until the next turn, if nothing wakes us: sooner where a pass had to be put off."""
         part = self.part
-        tick_s = self.controller.tick_s
+        tick_s = self.house.tick_s
         if part and part.stale:
-            return min(tick_s, max(self.pass_after - self.controller.now(), tick_s / 16))
+            return min(tick_s, max(self.pass_after - self.house.now(), tick_s / 16))
         return tick_s
 
     async def _give(self, part: Part, to: str) -> None:
         """Name the next owner in the part's key, between two of our own transactions. It claims on seeing that."""
         self.give_to = None
-        if to not in self.controller.fit_members() or any(machine.sending for machine in part.machines.values()):
+        if to not in self.house.fit_members() or any(machine.sending for machine in part.machines.values()):
             return
         path = f"part/{part.name}"
         value = {"owner": to}
         try:
-            stamp = await self.controller.state.txn({path: part.stamp}, {path: value})
+            stamp = await self.house.state.txn({path: part.stamp}, {path: value})
         except Unavailable:
             # It may yet be applied. Until we know, the fence tells: our next write fails if it was.
             return
-        self.controller.parts.wrote(path, value, stamp)
+        self.house.parts.wrote(path, value, stamp)
         self.lost(f"given to {to}")
 
     async def _commit(self, part: Part) -> None:
-        state = self.controller.state
+        state = self.house.state
         for _ in range(16):
             txn = part.ledger.next_txn(short=state.writes.short)
             if txn is None or self.phase is not OwnerPhase.ACTIVE:
@@ -249,21 +295,21 @@
             self._send_urgent(part)
             # Nor is what could start meanwhile, or is late, to wait for the last: where the state service takes few changes a
             # second, sixteen transactions took nine seconds, and no pass was made (cvbc rollout: 5 s a step of a pipeline).
-            now = self.controller.now()
-            if now - self.turned_at > self.controller.workers.report_s / 4 and self._pass_due(part, now):
+            now = self.house.now()
+            if now - self.turned_at > self.house.workers.report_s / 4 and self._pass_due(part, now):
                 return
 
     def _publish(self, writes: dict[str, Any], revision: int) -> None:
         for path, value in writes.items():
             if path.startswith("machine/"):
-                self.controller.machines.wrote(path, value, revision)
+                self.house.machines.wrote(path, value, revision)
             elif path.startswith("job/"):
-                self.controller.jobs_seen(path, value, revision)
+                self.house.jobs_seen(path, value, revision)
 
     async def _reread(self, part: Part, failed: list[str]) -> bool:
         fence = f"part/{part.name}"
         for path in failed or [fence]:
-            entry = await self.controller.state.get(path)
+            entry = await self.house.state.get(path)
             held(self.phase is OwnerPhase.ACTIVE, "given up while it was being written")
             stamp = entry.stamp if entry else 0
             if path == fence:
@@ -272,14 +318,14 @@
                     return False
                 continue
             log.info("part %s: %s had changed; taken in", part.name, path)
-            part.ledger.reread(path, entry.value if entry else None, stamp, self.controller.now())
+            part.ledger.reread(path, entry.value if entry else None, stamp, self.house.now())
         return True
 
     # -- orders sent directly --------------------------------------------------------------------------
 
     def _send_urgent(self, part: Part) -> None:
         urgent, part.urgent = part.urgent, {}
-        if self.phase is not OwnerPhase.ACTIVE or not self.controller.may_renew():
+        if self.phase is not OwnerPhase.ACTIVE or not self.house.may_renew():
             return
         for name in urgent:
             machine = part.machines.get(name)
@@ -288,7 +334,7 @@
             if machine.sending:
                 part.urgent[name] = None
                 continue
-            orders = part.direct(machine, self.controller.now())
+            orders = part.direct(machine, self.house.now())
             if orders:
                 machine.sending = True
                 task = asyncio.create_task(self._send(part, machine, orders, part.token(machine)))
@@ -299,10 +345,10 @@
         # Under the token that the starts are noted with. It may rise before this runs; sent under the higher one, a start that
         # arrives late would be taken though it counted as harmless.
         try:
-            status, report = await self.controller.worker_client.orders(machine.address, token, machine.tenure, orders)
+            status, report = await self.house.worker_client.orders(machine.address, token, machine.tenure, orders)
             part.direct_answered(machine, orders)
             if report is not None and report.berth == machine.name and self.phase is OwnerPhase.ACTIVE:
-                part.reports.on_report(report, self.controller.now(), checkin=False)
+                part.reports.on_report(report, self.house.now(), checkin=False)
             if status != 200:
                 log.debug("machine %s did not take orders: %d", machine.name, status)
         except NoAnswer as why:
--- a/tests/test_again.py
+++ b/tests/test_again.py
@@ -88,8 +88,8 @@
         await service.submit(job(1))
         leader = next(c.leader for c in service.controllers.values() if c.leader)
         assert leader is not None
-        label, stamp = leader.controller.label, leader.stamp
-        leader.controller.charters = leader.charters_before + 5
+        label, stamp = leader.house.label, leader.stamp
+        leader.house.charters = leader.charters_before + 5
         value = {"teams": [["red", 1]], "t": "g4", "z": "a", "s": False}
         for name in (f"{label}.{stamp}.{leader.charters_before + 3}", f"{label}.{stamp}.0", f"n9.{stamp}.7"):
             service.state.keys[f"charter/{name}"] = (value, 1, None)
