Starts and takeovers are state machines with named states, measured state by state

Need: nobody could say where the time goes between a controller's start and its first placement. Change: ashdock/recovery.py: a controller is joining, learning, owning; a part is claiming, reading, hearing, passing, placing, recovered, one function for each change. Measured: nothing changes but what is told.

--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -25,6 +25,7 @@
 from ashdock.net.state import Conflict, HoldLost, Replica, StateClient, Unavailable
 from ashdock.net.worker import WorkerClient
 from ashdock.owner import Owner, OwnerPhase
+from ashdock.recovery import Rise
 from ashdock.settings import Settings, Team, address
 from ashdock.upgrade import Upgrade
 from ashdock.wire.frames import Ahead, Beat, Claims, Counts, Frame, Give, Relay, Relayed, Yield
@@ -76,6 +77,7 @@
         self.relay_number = 0
         self.told_ahead: set[str] = set()  # parts whose jobs need others', as last told
         self.last_report = self.started = time.monotonic()
+        self.rise = Rise(self.started)
         self.fit = True  # as our entry among the members says
         self.front = self.jobs_known = Front(self)
         self.server = Server(self.front.handle, self.admission.door, use_of, self._no_place)
@@ -210,6 +212,7 @@
                 await self.state.renew(self.hold, timeout=self.ttl_s / 2)
                 if self.fit is self.cut_off():
                     await self._say_fit(not self.fit)
+            self.rise.joined(time.monotonic())
             self.hold_until = started + self.ttl_s
             await self._lead()
         except HoldLost:
@@ -318,6 +321,7 @@
             return self.tick_s / 4
         if self.hold is None or time.monotonic() > self.hold_until:
             return self.tick_s
+        self.rise.learnt(time.monotonic())
         alive = {*self.fit_members(), *([self.label] if self.fit else [])} or {self.label}
         load = dict.fromkeys(sorted(alive), 0)
         orphans: list[Team] = []
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -66,6 +66,7 @@
         self.ending: dict[str, Job] = {}  # cancelled jobs with tasks that may still be there
         self.taken = 0  # machines that were up for the owner before
         self.taken_at = -math.inf
+        self.placed = 0  # tasks, since it is ours
         self.unheard_s: float | None = None  # how long those that do not report are waited for, once that is known
         self.stale = True  # room or work has come up since the last pass
         self.ticked = -math.inf
@@ -206,6 +207,7 @@
 
     def place(self, job: Job, task: int, machine: Machine, attempt: int, now: float) -> None:
         placement = job.place(task, machine.name, attempt, now)
+        self.placed += 1
         self._count(job, placement, now)
 
     def _release(self, placement: Placement, now: float) -> None:
--- a/ashdock/net/metrics.py
+++ b/ashdock/net/metrics.py
@@ -22,6 +22,7 @@
 from ashdock.net.mesh import Mesh
 from ashdock.net.state import StateClient
 from ashdock.net.worker import WorkerClient
+from ashdock.recovery import Rise, Takeover
 from ashdock.upgrade import Upgrade
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -29,6 +30,7 @@
 
 class Owning(Protocol):
     part: Part | None
+    takeover: Takeover
 
 
 class Seen(Protocol):
@@ -39,6 +41,7 @@
     mesh: Mesh
     server: Server
     state: StateClient
+    rise: Rise
     upgrade: Upgrade
     worker_client: WorkerClient
 
@@ -85,6 +88,17 @@
             tasks.add_metric([team, "parked"], sum(park.high - park.low + 1 for park in part.parks.items))
         yield from (jobs, tasks, machines, tokens)
         yield from self._admission()
+        yield from self._recovery()
+
+    def _recovery(self) -> Iterable[Metric]:
+        rise = GaugeMetricFamily("ashdock_start_seconds", "in each state since the start of the process", labels=["state"])
+        for state, seconds in self.house.rise.took.items():
+            rise.add_metric([state], seconds)
+        took = GaugeMetricFamily("ashdock_takeover_seconds", "in each state of the takeover of a part", labels=["team", "state"])
+        for team, owner in self.house.owners.items():
+            for state, seconds in owner.takeover.took.items():
+                took.add_metric([team, state], seconds)
+        yield from (rise, took)
 
     def _admission(self) -> Iterable[Metric]:
         """Who has what of what can run short, and who was told to come back."""
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -18,6 +18,7 @@
 from ashdock.net.http import NoAnswer
 from ashdock.net.state import Conflict, Replica, StateClient, Unavailable
 from ashdock.net.worker import WorkerClient
+from ashdock.recovery import Takeover
 from ashdock.settings import Operators, Shared, Team, Workers
 from ashdock.wire.messages import MachineType, Order, Orders, Report
 
@@ -96,12 +97,14 @@
         self.passed_at = -1e9  # when the last scheduling pass began
         self.turned_at = -1e9  # when the turn under way began
         self.pass_after = 0.0  # a pass that took long is not followed by another at once
+        self.takeover = Takeover(team.name, house.now())
         self.task = asyncio.create_task(self._run())
 
     # -- changes of state ------------------------------------------------------------------------
 
     def _claimed(self, stamp: int) -> None:
         self.phase = OwnerPhase.LOADING
+        self.takeover.claimed(self.house.now())
         self.part = Part(
             self.team, stamp, self.house.shared, self.house.operators, self.house.catalog,
             random.Random(self.house.rng.random()), self.house.bounds,
@@ -110,6 +113,7 @@
     def _loaded(self) -> None:
         self.phase = OwnerPhase.ACTIVE
         assert self.part
+        self.takeover.read(self.part.taken, self.house.now())
         for change in self.early:
             change(self.part)
         self.early.clear()
@@ -154,6 +158,7 @@
         orders = part.reports.on_report(report, self.house.now(), checkin=True)
         if orders is None:
             return None
+        self.takeover.heard(self.house.now())
         if part.stale or part.ledger.touched or part.ledger.changing or part.urgent:
             self.wake.set()  # most reports say nothing new, and call for no turn
         return Orders(part.token(part.machines[report.berth]), orders)
@@ -224,6 +229,7 @@
         elif self._pass_due(part, now):
             self.passed_at = now
             part.passes.schedule(now)
+            self.takeover.passed(part.placed > 0, self.house.now())
             # No more than its share of the processor goes into passes, however large the part.
             ended = self.house.now()
             self.pass_after = ended + pause_s(ended - now, pass_share(self.house.parts_here()))
@@ -291,6 +297,8 @@
             for mark in txn.marks:
                 mark(revision)
             self._publish(txn.writes, revision)
+            if part.placed:
+                self.takeover.durable(self.house.now())
             # Starts go out between transactions, not after the last of them.
             self._send_urgent(part)
             # Nor is what could start meanwhile, or is late, to wait for the last: where the state service takes few changes a
