The leader keeps the lease of a machine that is lent to nobody, and knows where it is when it lends it

Cause: a worker without an owner was refused by everybody: it asked five times as often, its lease ran out all the same, and what was started there a moment before was killed with it. Change: the leader answers a worker that holds nothing and is recorded for nobody, while it sees the state service, with the token the worker has (an equal one is taken from anybody, and no later owner's can be lower). It remembers where and in which session a pool's machine is and writes that when it lends it, so the next owner need not wait for its report. Records are read into the allotment only when they change. Ruled out: a token of the leader's own: one that does not see a loan yet would lock its owner out.

--- a/ashdock/admission/desk.py
+++ b/ashdock/admission/desk.py
@@ -67,9 +67,11 @@
         self.refused: Counter[tuple[str, Short]] = Counter()  # what was asked for, and what there was too little of
         self.calm_s = 2 * shared.workers.report_s
         self.told_ended = 0
+        self.line_s = 0.0  # of submissions to be written, when last asked
 
     def submission(self, behind_s: float, now: float) -> Refusal | None:
         """`behind_s`: how long what users already wait for takes to be written."""
+        self.line_s = behind_s
         late_s = self.processor.late_s(now)
         if late_s > ACCEPT_WAITS_S / 4:
             return self._refuse("submission", Short.PROCESSOR, 429, "this controller is behind", 1 + int(late_s), now)
@@ -99,7 +101,7 @@
         if of is Short.PROCESSOR:
             return f"answers wait {self.processor.late_s(now):.2f} s; questions go first, then submissions"
         if of is Short.WRITES:
-            return "users' submissions come faster than the state service takes them from us"
+            return f"what users submit waits {self.line_s:.2f} s to be written"
         door, users = self.door, self.door.count(Use.USER)
         return (
             f"{len(door)} of {self.shares.inbound} connections, {users} users' (of {self.shares.users_most()}), "
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -70,7 +70,7 @@
 class Adopting(Protocol):
     """Whoever leads here."""
 
-    def stray(self, report: messages.Report) -> None: ...
+    def hear(self, report: messages.Report, known: bool) -> None: ...
 
 
 class FrontHouse(Protocol):
@@ -421,9 +421,15 @@
         return await self._elsewhere(report, body, label, team)
 
     def _ownerless(self, report: messages.Report, known: bool) -> Answer:
+        """Of a machine that is lent to nobody the leader keeps the lease, as long as it sees what is recorded and the machine holds
+        nothing. Sent on by everybody, such a worker asked five times as often, its lease ran out all the same, and a task
+        started there a moment before was killed with it. Told the token that it has, it is as free for its next owner as before."""
         leader = self.house.leader
-        if leader and not known:
-            leader.stray(report)
+        if leader:
+            leader.hear(report, known)
+            if self.house.state_fresh() and not report.shares:
+                self.answered[report.berth] = time.monotonic()
+                return Answer(200, messages.encode(messages.Orders(report.warrant, [])))
         label = self.house.leader_label()
         if leader is None and label and label != self.house.label:
             return Answer(421, messages.encode({"harbour": label}))
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -80,6 +80,8 @@
         self.stamp = stamp
         self.allotment = Allotment(house.shared, house.operators.renting, house.catalog)
         self.strays: dict[str, tuple[Report, float]] = {}  # reported and not recorded, and since when
+        self.pooled: dict[str, tuple[Report, float]] = {}  # recorded and lent to nobody: its last word, and when
+        self.lent: dict[str, tuple[int, Lent]] = {}  # each record as the allotment sees it, by its stamp
         self.released: dict[str, float] = {}  # gone, though the cloud's lagging list may still name them
         self.renting_names: set[str] = set()
         self.charters_before = house.charters  # a reign of ours that an outage ended may have left some
@@ -125,13 +127,21 @@
             for name, (report, _) in self.strays.items()
             if f"machine/{name}" not in self.house.machines.entries
         ]
-        return strays + [
-            Lent(
-                e.path.split("/", 1)[1], e.value["p"], e.value["t"], e.value["z"], e.value["s"], e.stamp, e.value.get("x", ""),
-                frozenset(image for image, _ in images_of(e.value)),
-            )
-            for e in self.house.machines.entries.values()
-        ]
+        # Read anew only where a record has changed: thousands of lists of images, looked through several times a second, were most
+        # of what leading cost.
+        before, self.lent = self.lent, {}
+        for path, entry in self.house.machines.entries.items():
+            known = before.get(path)
+            self.lent[path] = known if known is not None and known[0] == entry.stamp else (entry.stamp, self._lent_of(entry))
+        return strays + [lent for _, lent in self.lent.values()]
+
+    @staticmethod
+    def _lent_of(entry: Entry) -> Lent:
+        value = entry.value
+        return Lent(
+            entry.path.split("/", 1)[1], value["p"], value["t"], value["z"], value["s"], entry.stamp, value.get("x", ""),
+            frozenset(image for image, _ in images_of(value)),
+        )  # fmt: skip
 
     async def _choose(self) -> float:
         house = self.house
@@ -205,7 +215,7 @@
         for name, to in lend.items():
             entry = self._entry(name)
             if entry and entry.value["p"] == "" and not entry.value.get("x"):
-                records[name] = (entry.stamp, {**entry.value, "p": to})
+                records[name] = (entry.stamp, {**entry.value, "p": to} | self._word_of(name))
             elif entry is None and name in self.strays:
                 report, _ = self.strays.pop(name)
                 value = self._value(report.hull, report.yard, report.loaners, report.address, to, self.house.now())
@@ -216,6 +226,13 @@
         except Unavailable as why:
             log.debug("not lent: %s", why)
 
+    def _word_of(self, name: str) -> dict[str, Any]:
+        """Where a machine of the pool is and in which session, if it has just told: its next owner need not wait for its report."""
+        report, at = self.pooled.pop(name, (None, 0.0))
+        if report is None or self.house.now() - at > 2 * self.house.workers.report_s:
+            return {}
+        return {"a": report.address, "n": report.tenure}
+
     async def _mark(self, name: str, why: str) -> None:
         await self._mark_all([name], why)
 
@@ -338,9 +355,12 @@
         await self._adopt_strays()
         return max(house.tick_s, 1 / house.shared.cloud.rps)
 
-    def stray(self, report: Report) -> None:
+    def hear(self, report: Report, known: bool) -> None:
+        """A machine that is lent to nobody reported. `known`: it is recorded, in the pool."""
         now = self.house.now()
-        if len(self.strays) < 2000 and report.hull in self.house.catalog and not self._late(report.berth, now):
+        if known:
+            self.pooled[report.berth] = (report, now)
+        elif len(self.strays) < 2000 and report.hull in self.house.catalog and not self._late(report.berth, now):
             _, since = self.strays.get(report.berth, (None, now))
             self.strays[report.berth] = (report, since)
 
@@ -407,6 +427,7 @@
                 if not self.renting_names and now - since > 2 * self.lag_s:
                     await self._adopt(host.id, host.hull, host.yard, host.loaners, host.address)
         self.unrecorded = unrecorded
+        self.pooled = {name: word for name, word in self.pooled.items() if self._entry(name) is not None}
         for name, at in list(self.released.items()):
             if now - at > 20 * self.lag_s + 60:
                 del self.released[name]
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -21,6 +21,7 @@
     limits: dict[str, float]  # team: GPUs at most
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # as submitted
     on: dict[tuple[str, int], list[On]] = field(default_factory=dict)
+    used: dict[str, float] = field(default_factory=dict)  # GPUs, by team
     done: set[tuple[str, int]] = field(default_factory=set)
     accepted: set[str] = field(default_factory=set)
     told: dict[str, str] = field(default_factory=dict)  # final states that users were told
@@ -44,7 +45,7 @@
             return
         if self.on.get((job, task)):
             self._break("ran_twice", f"{job}/{task} on {place.machine} and {self.on[job, task][0].machine}")
-        others = [p for (j, _), places in self.on.items() if j == job for p in places]
+        others = [p for number in self._asks(run) for p in self.on.get((job, number), ())]
         if run.get("hulls") is not None and place.type not in run["hulls"]:
             self._break("wrong_place", f"{job}/{task}: type {place.type}")
         if run.get("yard") is not None and place.zone != run["yard"]:
@@ -57,10 +58,7 @@
         if run["spread"] and here > (run["shares"] + 1) // 2:
             self._break("wrong_place", f"{job}/{task}: too many in {place.zone}")
         self.on.setdefault((job, task), []).append(place)
-        used = sum(
-            self.jobs[j]["accelerators"] * len(places)
-            for (j, _), places in self.on.items() if j in self.jobs and self.jobs[j]["owner"] == run["owner"]
-        )  # fmt: skip
+        used = self.used[run["owner"]] = self.used.get(run["owner"], 0.0) + run["accelerators"]
         if used > self.limits[run["owner"]] + 1e-6:
             self._break("quota", f"{run['owner']} uses {used}")
         if job in self.cancelled_at and now > self.cancelled_at[job] + self.cancel_s:
@@ -69,9 +67,19 @@
             if any((need, other) not in self.done for other in range(self.jobs[need]["shares"])):
                 self._break("too_early", f"{job}/{task} starts before {need} is done")
 
+    @staticmethod
+    def _asks(run: dict[str, Any]) -> range:
+        """The tasks whose places matter to where another may start."""
+        return range(run["shares"] if run["same_place"] or run["spread"] else 0)
+
     def left(self, job: str, task: int, machine: str, done: bool = False) -> None:
-        places = self.on.get((job, task), [])
-        self.on[job, task] = [place for place in places if place.machine != machine]
+        places = self.on.pop((job, task), [])
+        left = [place for place in places if place.machine != machine]
+        if left:
+            self.on[job, task] = left
+        if job in self.jobs:
+            run = self.jobs[job]
+            self.used[run["owner"]] = self.used.get(run["owner"], 0.0) - run["accelerators"] * (len(places) - len(left))
         if done:
             self.done.add((job, task))
 
--- /dev/null
+++ b/tests/scale.py
@@ -0,0 +1,393 @@
+"""How a controller's cost grows with its fleet: whole controllers, in simulated time, against stand-ins.
+
+    pip install -r requirements-scale.txt
+    python -m tests.scale grow [--times 1 2 4 8] [--plot docs/scale.svg] [--save figures.json] [--before figures.json]
+    python -m tests.scale full        2,648 machines, three controllers of 1,200 sockets, no troubles
+    python -m tests.scale alone       the same fleet, one controller left with half a core, charged for what it computes
+
+Not part of the tests: minutes, not seconds. Processor time is measured on this machine, step by step of each controller's tasks,
+and so differs from machine to machine; time is simulated. Memory is what a controller's tables hold.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import cProfile
+import json
+import pstats
+import random
+import time
+import types
+from collections import Counter
+from collections.abc import Callable, Generator
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from hdrh.histogram import HdrHistogram
+from pympler import asizeof
+
+from ashdock.net.http import Client, NoAnswer
+from ashdock.settings import Team
+from tests import simtime, whole
+from tests.fleet import Fleet
+from tests.simtime import HOST, Net, SimLoop
+
+# One time the fleet: three teams with guarantees, the arrivals a second of two kinds of gangs and one of arrays, 662 machines of 4 GPUs.
+MACHINES = 662
+TEAMS = [("ops", 800, 2000), ("data", 1200, 4000), ("crew", 700, 2500)]
+KINDS: list[tuple[str, float, dict[str, Any]]] = [
+    ("slot", 0.4188, {"shape": "ensemble", "sizes": [1, 2, 4, 8], "weights": [3.0, 2.4, 1.92, 1.54], "accelerators": 4.0, "cpus": 28.0,
+                      "same_place": True, "expect_s": 100.0, "snapshot_s": 45.0, "flush_s": 4.0, "images": 5, "size_gb": 4.0}),
+    ("note", 0.2783, {"shape": "sweep", "sizes": [5, 10, 20, 40], "weights": [1.0, 2.0, 2.0, 1.0], "accelerators": 1.0, "cpus": 6.0,
+                      "urgency": "best_effort", "expect_s": 80.0, "images": 20, "size_gb": 6.0, "loaners": True}),
+    ("urgent", 0.2558, {"shape": "ensemble", "sizes": [1, 2, 4], "weights": [3.0, 2.4, 1.92], "accelerators": 4.0, "cpus": 28.0,
+                        "urgency": "high", "expect_s": 120.0, "snapshot_s": 20.0, "flush_s": 3.0, "images": 18, "size_gb": 4.0}),
+]  # fmt: skip
+REPORT_S, LEASE_S, CANCEL_S = 3.0, 19.0, 39.0
+
+
+class Meter:
+    """Processor time by host; and, for a host with a share, that its tasks wait for what they have computed."""
+
+    def __init__(self, share: float | None) -> None:
+        self.share = share
+        self.hosts: set[str] = set()  # those charged
+        self.spent: Counter[str] = Counter()
+        self.busy: dict[str, float] = {}
+        self.running: tuple[str, float] | None = None
+        self.profile: cProfile.Profile | None = None  # of the controllers' own steps
+
+    def ahead(self) -> float:
+        """How far the clock of the host that computes has moved on within the step under way."""
+        if self.running is None or self.share is None:
+            return 0.0
+        return (time.perf_counter() - self.running[1]) / self.share
+
+    @types.coroutine
+    def run(self, job: Any, host: str) -> Generator[Any, Any, Any]:
+        loop = asyncio.get_running_loop()
+        act: Callable[[Any], Any] = job.send
+        with_: Any = None
+        while True:
+            charged = host in self.hosts
+            while charged and self.busy.get(host, 0.0) > loop.time():
+                gate = loop.create_future()
+                loop.call_at(self.busy[host], lambda g=gate: g.done() or g.set_result(None))
+                try:
+                    yield from gate
+                except BaseException as why:
+                    act, with_ = job.throw, why
+            began = time.perf_counter()
+            self.running = (host, began) if charged else None
+            if self.profile:
+                self.profile.enable()
+            try:
+                step = act(with_)
+            except StopIteration as end:
+                return end.value
+            finally:
+                if self.profile:
+                    self.profile.disable()
+                took = time.perf_counter() - began
+                self.running = None
+                self.spent[host] += took
+                if charged and self.share:
+                    self.busy[host] = max(self.busy.get(host, 0.0), loop.time()) + took / self.share
+            try:
+                act, with_ = job.send, (yield step)
+            except BaseException as why:
+                act, with_ = job.throw, why
+
+
+def simulate(main: Callable[[Net], Any], seed: int, meter: Meter) -> Any:
+    loop = SimLoop()
+    net = Net(seed)
+
+    def factory(loop_: Any, job: Any, **more: Any) -> asyncio.Task[Any]:
+        parent = None
+        with contextlib.suppress(RuntimeError):
+            parent = asyncio.current_task(loop_)
+        host = net.booting or HOST.get(parent)
+        task: asyncio.Task[Any] = asyncio.Task(meter.run(job, host) if host and host.startswith("10.0.0.") else job, loop=loop_, **more)
+        if host is not None:
+            HOST[task] = host
+            net.remember(host, task)
+        return task
+
+    loop.set_task_factory(factory)
+    HOST.clear()
+    with (
+        mock.patch.object(asyncio, "open_connection", net.open_connection),
+        mock.patch.object(asyncio, "start_server", net.start_server),
+        mock.patch.object(time, "monotonic", lambda: loop.clock + meter.ahead()),
+        mock.patch.object(time, "time", lambda: loop.clock + simtime.WALL),
+    ):
+        try:
+            return loop.run_until_complete(main(net))
+        finally:
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+            loop.run_until_complete(asyncio.sleep(0))
+            loop.close()
+
+
+class Users:
+    """Each submits a job as soon as it has it, over a load balancer that knows who is ready, and asks every 5 s until it is done."""
+
+    def __init__(self, fleet: Fleet, times: float) -> None:
+        self.fleet = fleet
+        self.times = times
+        self.rng = random.Random(7)
+        self.number = 0
+        self.took = HdrHistogram(1, 120_000, 3)  # of a submission until it is accepted, ms
+        self.asked = HdrHistogram(1, 10_000, 3)  # of a question, ms
+        self.errors: Counter[str] = Counter()
+        self.counts = False  # from when on submissions count
+        self.ready: dict[int, bool] = {}
+        self.open: Counter[int] = Counter()
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, job: Any) -> None:
+        task = asyncio.create_task(job)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def probe(self) -> None:
+        clients = {n: Client(f"10.0.0.{n}", 8080, keep=1) for n in range(3)}
+        while True:
+            for n, client in clients.items():
+                try:
+                    self.ready[n] = (await client.request("GET", "/ready", b"", 1.0))[0] == 200
+                except NoAnswer:
+                    self.ready[n] = False
+            await asyncio.sleep(1.0)
+
+    async def ask(self, user: dict[str, Any], method: str, target: str, body: bytes, timeout: float) -> int | None:
+        client = user.get("client")
+        for _ in range(3):
+            if client is None:
+                healthy = [n for n, ready in self.ready.items() if ready]
+                if not healthy:
+                    self.errors["no_node"] += 1
+                    return None
+                user["n"] = min(healthy, key=lambda n: (self.open[n], n))
+                client = user["client"] = Client(f"10.0.0.{user['n']}", 8080, keep=1)
+                self.open[user["n"]] += 1
+            try:
+                status, _ = await client.request(method, target, body, timeout)
+                if not client.free:  # it was told to close
+                    self.leave(user)
+                if status not in (200, 201):
+                    self.errors[str(status)] += 1
+                return status
+            except NoAnswer as why:
+                self.leave(user)
+                client = None
+                self.errors["unsent" if not why.sent else "unanswered"] += 1
+                if why.sent:
+                    return None
+        return None
+
+    def leave(self, user: dict[str, Any]) -> None:
+        client = user.pop("client", None)
+        if client is not None:
+            self.open[user["n"]] -= 1
+            client.close()
+
+    async def one(self, run: dict[str, Any]) -> None:
+        user: dict[str, Any] = {}
+        self.fleet.rules.submitted(run)
+        began, counts = self.now(), self.counts
+        body = json.dumps(run).encode()
+        status = None
+        while status not in (200, 201):
+            status = await self.ask(user, "POST", "/v2/runs", body, 5.0)
+            if status is not None:
+                self.fleet.rules.answered(run["id"], status, "queued", submission=True, now=self.now())
+            if status not in (200, 201):
+                if self.now() - began > 60:
+                    break
+                await asyncio.sleep(1.0)
+        if counts:
+            self.took.record_value(max(1, int((self.now() - began) * 1000)))
+        while any((run["id"], task) not in self.fleet.rules.done for task in range(run["shares"])):
+            await asyncio.sleep(5.0 * (0.8 + 0.4 * self.rng.random()))
+            at = self.now()
+            status = await self.ask(user, "GET", f"/v2/runs/{run['id']}", b"", 2.0)
+            if status == 200:
+                self.asked.record_value(max(1, int((self.now() - at) * 1000)))
+        self.leave(user)
+
+    def job(self, kind: str, form: dict[str, Any]) -> dict[str, Any]:
+        self.number += 1
+        form = dict(form)
+        sizes, weights, images = form.pop("sizes"), form.pop("weights"), form.pop("images")
+        run_s = form["expect_s"] * (0.5 + self.rng.random())
+        return whole.job(
+            self.number, workload=kind, owner=self.rng.choices([t[0] for t in TEAMS], [1.1, 1.6, 1.0])[0], bundle=f"{kind}-{self.rng.randrange(images)}",
+            shares=self.rng.choices(sizes, weights)[0], **{**form, "expect_s": round(run_s, 1), "ram_gb": 40.0},
+        )  # fmt: skip
+
+    async def arrive(self, kind: str, rate: float, form: dict[str, Any]) -> None:
+        while True:
+            await asyncio.sleep(self.rng.expovariate(rate * self.times))
+            self.spawn(self.one(self.job(kind, form)))
+
+    async def run(self) -> None:
+        self.spawn(self.probe())
+        await asyncio.sleep(3)
+        for kind, rate, form in KINDS:
+            for _ in range(int(rate * self.times * 60)):
+                self.spawn(self.one(self.job(kind, form)))
+            self.spawn(self.arrive(kind, rate, form))
+        await asyncio.sleep(1e9)
+
+
+def shared_at(times: float, sockets: int, core: float) -> Any:
+    shared = whole.shared()
+    shared.teams = [Team(name, gpus=low * times, gpus_max=high * times) for name, low, high in TEAMS]
+    workers = shared.workers
+    workers.report_s, workers.lease_s, workers.cancel_s, workers.gang_peer_s, workers.gang_wait_s = REPORT_S, LEASE_S, CANCEL_S, 4.0, 50.0
+    shared.state.rps, shared.state.write_rps, shared.state.value_kb = 150.0, 60.0, 32.0
+    shared.cloud.rps, shared.cloud.list_lag_s = 2.0, 3.0
+    shared.machine_limits.max_connections, shared.machine_limits.core_share = sockets, core
+    return shared
+
+
+def held(controller: Any) -> int:
+    """Bytes in the tables that grow with the fleet."""
+    tables: list[Any] = [controller.machines.entries, controller.parts.entries, controller.front.finals, controller.front.questions.known]
+    tables += [controller.front.redirected, controller.front.answered, controller.remote_pictures, controller.remote_counts]
+    for owner in controller.owners.values():
+        if owner.part is not None:
+            tables += [owner.part.machines, owner.part.jobs, owner.part.parks]
+    if controller.leader is not None:
+        tables += [controller.leader.strays, controller.leader.listed, controller.leader.released]
+    return int(asizeof.asizeof(*tables))
+
+
+def measure(times: float, sockets: int, seconds: float, alone: float | None = None, seed: int = 11, profile: bool = False) -> dict[str, Any]:
+    """One fleet. `alone`: the share of a core that the one controller left has, once two have ended for good."""
+    meter = Meter(alone)
+    out: dict[str, Any] = {"times": times, "machines": int(MACHINES * times)}
+    wall = time.perf_counter()
+
+    async def main(net: Net) -> None:
+        shared = shared_at(times, sockets, alone or 1.0)
+        fleet = Fleet(net, shared, int(MACHINES * times))
+        for n in range(3):
+            net.limits[f"10.0.0.{n}"] = sockets
+        await fleet.start()
+        users = Users(fleet, times)
+        simtime.spawn(net, "users", users.run())
+        await asyncio.sleep(75)
+        if alone is not None:
+            meter.hosts.add("10.0.0.0")
+            for n in (1, 2):
+                net.kill(f"10.0.0.{n}")
+                fleet.controllers.pop(n)
+        users.counts = True
+        meter.profile = cProfile.Profile() if profile else None
+        before, at = dict(meter.spent), users.now()
+        requests, counted = fleet.state.requests, fleet.state.counted
+        starts = fleet.rules.starts
+        for step in range(int(seconds / 5)):
+            await asyncio.sleep(5)
+            print(f"  {times:g} times: {users.now():.0f} s, {fleet.rules.starts} starts, {fleet.killed} killed, "
+                  f"{time.perf_counter() - wall:.0f} s of real time, step {step}", flush=True)  # fmt: skip
+        past = users.now() - at
+        cores = [(meter.spent[host] - before.get(host, 0.0)) / past for host in sorted(meter.spent) if host.startswith("10.0.0.")]
+        alive = list(fleet.controllers.values())
+        out.update(
+            jobs=len([j for j in fleet.rules.jobs if any((j, t) not in fleet.rules.done for t in range(fleet.rules.jobs[j]["shares"]))]),
+            core_mean=sum(cores) / len(cores), core_most=max(cores), mb=max(held(c) for c in alive) / 2**20,
+            requests=(fleet.state.requests - requests) / past, writes=(fleet.state.counted - counted) / past,
+            starts=(fleet.rules.starts - starts) / past, killed=fleet.killed, broken=fleet.rules.broken[:5],
+            submissions=users.took.get_total_count(), p50_ms=users.took.get_value_at_percentile(50),
+            p99_ms=users.took.get_value_at_percentile(99), within_1s=share_within(users.took, 1000),
+            asked_p99_ms=users.asked.get_value_at_percentile(99), errors=dict(users.errors),
+            sockets=max(net.most.get(f"10.0.0.{n}", 0) for n in range(3)), refused=net.refused,
+            late_s=max((c.admission.processor.late_s(users.now()) for c in alive if hasattr(c, "admission")), default=0.0),
+            longest_s=fleet.longest(), real_s=time.perf_counter() - wall,
+        )  # fmt: skip
+
+    simulate(main, seed, meter)
+    if meter.profile:
+        pstats.Stats(meter.profile).sort_stats("tottime").print_stats(45)
+    return out
+
+
+def share_within(histogram: HdrHistogram, ms: int) -> float:
+    total = histogram.get_total_count()
+    return sum(i.count_added_in_this_iter_step for i in histogram.get_recorded_iterator() if i.value_iterated_to <= ms) / total if total else 1.0
+
+
+COLUMNS = [
+    ("machines", "machines", "{}"), ("jobs", "unfinished jobs", "{}"), ("starts", "starts a second", "{:.1f}"), ("core_mean", "cores, mean of three", "{:.3f}"),
+    ("core_most", "cores, busiest", "{:.3f}"), ("mb", "MB in tables", "{:.1f}"), ("requests", "state requests a second", "{:.0f}"),
+    ("writes", "writes a second", "{:.0f}"), ("sockets", "sockets at most", "{}"), ("within_1s", "submissions in 1 s", "{:.3f}"), ("killed", "killed by lease", "{}"),
+]  # fmt: skip
+
+
+def table(rows: list[dict[str, Any]]) -> str:
+    head = "| times | " + " | ".join(words for _, words, _ in COLUMNS) + " |"
+    lines = [head, "|" + " --- |" * (len(COLUMNS) + 1)]
+    lines += [f"| {row['times']:g} | " + " | ".join(form.format(row[key]) for key, _, form in COLUMNS) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def plot(rows: list[dict[str, Any]], before: list[dict[str, Any]], path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.6))
+    for axis, key, words in ((axes[0], "core_most", "cores, busiest controller"), (axes[1], "mb", "MB in its tables")):
+        for label, data, style in (("before", before, "o--"), ("now", rows, "o-")):
+            if data:
+                axis.plot([row["machines"] for row in data], [row[key] for row in data], style, label=label)
+        first = rows[0]
+        axis.plot([row["machines"] for row in rows], [first[key] * row["machines"] / first["machines"] for row in rows], ":", color="grey", label="as the fleet")
+        axis.set_xlabel("machines")
+        axis.set_ylabel(words)
+        axis.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> None:
+    top = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    top.add_argument("what", choices=["grow", "full", "alone"])
+    top.add_argument("--times", type=float, nargs="+", default=[1, 2, 4, 8])
+    top.add_argument("--sockets", type=int, default=1200)
+    top.add_argument("--seconds", type=float, default=60.0, help="simulated, after 75 s to fill the fleet")
+    top.add_argument("--core", type=float, default=0.504, help="share of a core of the one left alone")
+    top.add_argument("--plot")
+    top.add_argument("--profile", action="store_true", help="print where the controllers' processor time goes")
+    top.add_argument("--save")
+    top.add_argument("--before")
+    options = top.parse_args()
+    if options.what == "grow":
+        # Sockets enough: what is asked is what computing and remembering cost.
+        rows = []
+        for times in options.times:
+            rows.append(measure(times, 100_000, options.seconds, profile=options.profile))
+            if options.save:
+                Path(options.save).write_text(json.dumps(rows))
+        print(table(rows))
+        if options.plot:
+            plot(rows, json.loads(Path(options.before).read_text()) if options.before else [], options.plot)
+        return
+    row = measure(4, options.sockets, options.seconds, options.core if options.what == "alone" else None)
+    print(json.dumps(row, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/simtime.py
+++ b/tests/simtime.py
@@ -134,6 +134,7 @@
         self.most: dict[str, int] = {}  # and at the most has held
         self.limits: dict[str, int] = {}  # host: beyond which new connections fail
         self.refused = 0
+        self.booting = ""  # the host that a task is being made for, if not for the one that makes it
 
     def delay(self, a: str, b: str) -> float:
         return 0.001 + self.rng.random() * 0.002
@@ -192,7 +193,9 @@
 
 
 def spawn(net: Net, host: str, job: Any) -> asyncio.Task[Any]:
+    net.booting = host
     task = asyncio.get_running_loop().create_task(job)
+    net.booting = ""
     HOST[task] = host
     net.remember(host, task)
     return task
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from bisect import bisect_right
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -165,7 +166,8 @@
             if not self.blind:
                 return reply(410, {})
         while True:
-            news = [c for c in self.changes if c["stamp"] > after and (c.get("set") or c["delete"]).startswith(words["under"])]
+            new = self.changes[bisect_right(self.changes, after, key=lambda c: c["stamp"]) :]
+            news = [c for c in new if (c.get("set") or c["delete"]).startswith(words["under"])]
             if (news and not self.down) or loop.time() >= until:
                 return reply(200, {"ledger": self.ledger, "news": news})
             try:
@@ -202,6 +204,9 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def place(self, attempt: int) -> On:
+        return On(self.name, self.kind, self.zone, self.spot, attempt)
+
     async def run(self) -> None:
         self.renewed = self.now()
         await Server(self.handle, plain_door(50, 600.0, 600.0)).start(self.host, 9000)
@@ -317,7 +322,7 @@
         if task["status"] != "pulling":
             return
         self.images.add(run["bundle"])
-        self.world.rules.started(job, int(number), On(self.name, self.kind, self.zone, self.spot, attempt), self.now())
+        self.world.rules.started(job, int(number), self.place(attempt), self.now())
         gang = run["shape"] == "ensemble"
         task["status"] = "waiting" if gang else "running"
         self.change.set()
@@ -403,7 +408,7 @@
 
     def boot(self, zone: str, spot: bool, after: float) -> str:
         name = f"vm-{self.number:06d}"
-        worker = Worker(self, name, "g4", zone, spot, self.number)
+        worker = self.worker(name, "g4", zone, spot, self.number)
         self.number += 1
         self.workers[name] = worker
         self.born[name] = asyncio.get_running_loop().time()
@@ -416,6 +421,9 @@
         spawn(self.net, worker.host, up())
         return name
 
+    def worker(self, *words: Any) -> Worker:
+        return Worker(self, *words)
+
     def broken_gang(self, job: str, attempt: int) -> bool:
         return (job, attempt) in self.lost_mates
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -253,3 +253,39 @@
         assert "queued" in answers and "done" not in answers
 
     play(monkeypatch, 27, day)
+
+
+def test_a_machine_that_is_lent_to_nobody_keeps_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Sent from one controller to the next, it asked five times as often, and lost its lease: what was started there a moment
+    before was killed with it. The leader answers it, under whatever token it has; not while it cannot see what is recorded."""
+
+    async def day(service: Service) -> None:
+        lease_s = service.world.lease_s
+        asked: list[float] = []
+        inner = service.world.workers["vm-000000"]._report
+
+        async def counted(node: str) -> Any:
+            asked.append(service.now())
+            return await inner(node)
+
+        monkeypatch.setattr(service.world.workers["vm-000000"], "_report", counted)
+        await asyncio.sleep(3 * lease_s)
+        assert all(worker.tenure == 1 and worker.token == 0 for worker in service.world.workers.values())
+        late = [at for at in asked if at > lease_s]
+        assert len(late) < 2.5 * lease_s / service.world.report_s
+        # Lent when its lease would have been over long ago: what is started goes on to its end.
+        await service.submit(job(1, shares=8, expect_s=2 * lease_s))
+        assert not await service.until_final(["req-000001"], 60)
+        assert all(worker.tenure == 1 for worker in service.world.workers.values())
+        assert service.rules.starts == 8
+        leader = next(c for c in service.controllers.values() if c.leader)
+        free = next(w for w in service.world.workers.values() if not w.shares)
+        for down, status in [(False, 200), (True, 503)]:
+            service.state.down = down
+            await asyncio.sleep(3.0)
+            client = Client(service.world.nodes[leader.label], 8080, keep=0)
+            body = json.dumps(free.message() | {"berth": "vm-009999"}).encode()
+            assert (await client.request("POST", "/checkin", body, 4.0))[0] == status
+        service.state.down = False
+
+    play(monkeypatch, 33, day)
