What a busy machine would cost is worked out once a report, not for each picture

Change: a row of the picture is kept until what is placed there changes, or for as long as a report lasts. Ruled out: telling only what changed over the mesh: a picture that is lost would leave the leader wrong for good.

--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -34,6 +34,7 @@
         self.why = value.get("x", "")
         self.doom_gen = 0
         self.live: dict[tuple[str, int], Placement] = {}
+        self.version = 0  # of what is placed here
         self.cpus = shape.cpus
         self.gpus = shape.accelerators
         self.memory = shape.ram_gb
@@ -115,6 +116,7 @@
 
     def take(self, placement: Placement, cpus: float, gpus: float, memory: float) -> None:
         self.live[placement.key] = placement
+        self.version += 1
         self.cpus -= cpus
         self.gpus -= gpus
         self.memory -= memory
@@ -122,6 +124,7 @@
 
     def give_back(self, placement: Placement, cpus: float, gpus: float, memory: float, now: float) -> None:
         if self.live.pop(placement.key, None) is not None:
+            self.version += 1
             self.cpus += cpus
             self.gpus += gpus
             self.memory += memory
--- a/ashdock/core/telling.py
+++ b/ashdock/core/telling.py
@@ -79,6 +79,15 @@
     spare_beyond: int  # machines held beyond the guarantee
 
 
+class _Row(NamedTuple):
+    """What is told of a machine, as of which version of what is placed there, and for how long."""
+
+    machine: Machine
+    version: int
+    until: float
+    busy: Busy
+
+
 class Told(Protocol):
     """What of a part goes into its picture, and what the leader's wishes may touch."""
 
@@ -102,6 +111,7 @@
     def __init__(self, part: Told) -> None:
         self.part = part
         self.owed: dict[str, tuple[Owed, float]] = {}  # by team, and until when
+        self.rows: dict[str, _Row] = {}
         self.arrived: deque[tuple[float, int, Spec]] = deque()  # of late: when, how many machines' worth, and what
 
     def came(self, job: Job, now: float) -> None:
@@ -147,14 +157,22 @@
         ]  # fmt: skip
         kept = self._at_hand(empty, now)
         idle = [(m.name, now - (m.idle_since or now)) for m in empty if m.name not in kept]
-        busy = [
-            Busy(m.name, max(self.part.jobs[p.job].priority for p in m.live.values()), machine_loss(self.part.jobs, m, now))
-            for m in self.part.machines.values()
-            if m.live and m.usable and m.name not in self.part.reserved
-        ]  # fmt: skip
+        busy = [self._row(m, now) for m in self.part.machines.values() if m.live and m.usable and m.name not in self.part.reserved]
+        if len(self.rows) > 2 * len(self.part.machines) + 16:
+            self.rows = {name: row for name, row in self.rows.items() if name in self.part.machines}
         waiting = sum(job.ready for job in self.part.jobs.values() if job.active and not job.waits)
         return Picture(self.part.name, self.part.looked, self.part.wants, idle, busy, len(self.part.machines), waiting, self._beyond(busy))
 
+    def _row(self, machine: Machine, now: float) -> Busy:
+        """A machine at work. What stopping it costs changes with what runs there, or slowly: it is worked out anew for each report, not
+        for each picture. Of a large part, pictures cost more than passes."""
+        known = self.rows.get(machine.name)
+        if known is None or known.machine is not machine or known.version != machine.version or now >= known.until:
+            priority = max(self.part.jobs[placement.job].priority for placement in machine.live.values())
+            busy = Busy(machine.name, priority, machine_loss(self.part.jobs, machine, now))
+            known = self.rows[machine.name] = _Row(machine, machine.version, now + self.part.workers.report_s, busy)
+        return known.busy
+
     def _beyond(self, busy: list[Busy]) -> int:
         """How many machines' work the team runs beyond its guarantee. Machines that stand empty or boot do not
         count: taking running work for those made machines go round between teams that were all within theirs."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,9 +10,10 @@
 
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
+from ashdock.core import telling
 from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
-from ashdock.core.machine import trimmed
+from ashdock.core.machine import Machine, trimmed
 from ashdock.core.part import Part
 from ashdock.core.quota import Usage, can_ever, guaranteed
 from ashdock.core.task import Failure, Phase, ranges_of
@@ -680,3 +681,27 @@
 def test_a_rental_for_many_teams_is_a_small_record() -> None:
     rents = Allotment._requests({(f"team-{n}", "g4", "a", False): 1 for n in range(30)})
     assert [len(rent.teams) for rent in rents] == [10] and rents[0].number == 10
+
+
+def test_a_picture_is_worked_out_anew_only_where_something_changed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Several a second were made of every machine: of a large part they cost more than its passes."""
+    part = part_with([spec(1, shares=4, accelerators=4.0, snapshot_s=0.0)], machines="abab")
+    for machine in part.machines.values():
+        machine.came_up("10.1.0.1:9000")
+    part.passes.schedule(1.0)
+    asked: list[str] = []
+    whole = telling.machine_loss
+    monkeypatch.setattr(telling, "machine_loss", lambda jobs, machine, now: asked.append(machine.name) or whole(jobs, machine, now))
+    steps: list[tuple[float, list[str]]] = [(1.0, ["vm-0", "vm-1", "vm-2", "vm-3"]), (1.5, []), (1.9, []), (2.1, ["vm-0", "vm-1", "vm-2", "vm-3"])]
+    for now, anew in steps:
+        asked.clear()
+        assert len(part.telling.picture(now).busy) == 4 and sorted(asked) == anew
+    asked.clear()
+    gone = part.machines["vm-2"]
+    part.drop(next(iter(gone.live.values())), 2.2)
+    assert [busy.machine for busy in part.telling.picture(2.2).busy] == ["vm-0", "vm-1", "vm-3"] and not asked
+    # Given away and back within the time: another machine by the same name.
+    fresh = part.machines["vm-0"] = Machine("vm-0", {"t": "g4", "z": "a", "s": False, "n": 1, "a": "x:1"}, 30, G4, 2.2)
+    fresh.live, fresh.version = part.machines["vm-1"].live, part.machines["vm-1"].version
+    part.telling.picture(2.3)
+    assert asked == ["vm-0"]
