tests.scale: steps of a busy controller wait in line instead of all looking at the clock

Cause: hundreds of tasks woken after each step of a controller that was behind made a fleet of 2,648 machines take longer than a quarter of an hour. Change: one is woken after the other, in the order in which they came.

--- a/tests/scale.py
+++ b/tests/scale.py
@@ -22,7 +22,7 @@
 import random
 import time
 import types
-from collections import Counter
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Generator
 from pathlib import Path
 from typing import Any
@@ -58,6 +58,8 @@
         self.share = share
         self.spent: Counter[str] = Counter()
         self.busy: dict[str, float] = {}
+        self.lines: defaultdict[str, deque[asyncio.Future[None]]] = defaultdict(deque)  # steps that wait for the one before
+        self.waking: set[str] = set()
         self.running: tuple[str, float] | None = None
         self.profile: cProfile.Profile | None = None  # of the controllers' own steps
 
@@ -67,19 +69,38 @@
             return 0.0
         return (time.perf_counter() - self.running[1]) / self.share
 
+    def _wake_next(self, host: str, loop: asyncio.AbstractEventLoop) -> None:
+        if self.lines[host] and host not in self.waking:
+            self.waking.add(host)
+            loop.call_at(max(self.busy.get(host, 0.0), loop.time()), self._woken, host, loop)
+
+    def _woken(self, host: str, loop: asyncio.AbstractEventLoop) -> None:
+        self.waking.discard(host)
+        if self.busy.get(host, 0.0) > loop.time() + 1e-6:
+            return self._wake_next(host, loop)
+        while self.lines[host]:
+            gate = self.lines[host].popleft()
+            if not gate.done():
+                gate.set_result(None)  # its step comes next, and wakes whoever is next after it
+                return
+
     @types.coroutine
     def run(self, job: Any, host: str) -> Generator[Any, Any, Any]:
         loop = asyncio.get_running_loop()
         act: Callable[[Any], Any] = job.send
         with_: Any = None
         while True:
-            while self.busy.get(host, 0.0) > loop.time():
+            if self.lines[host] or self.busy.get(host, 0.0) > loop.time():
+                # In line: woken all at once, hundreds of tasks would look at the clock again after each step.
                 gate = loop.create_future()
-                loop.call_at(self.busy[host], lambda g=gate: g.done() or g.set_result(None))
+                self.lines[host].append(gate)
+                self._wake_next(host, loop)
                 try:
                     yield from gate
                 except BaseException as why:
                     act, with_ = job.throw, why
+                    if gate in self.lines[host]:
+                        self.lines[host].remove(gate)
             began = time.perf_counter()
             self.running = (host, began)
             if self.profile:
@@ -95,6 +116,7 @@
                 self.running = None
                 self.spent[host] += took
                 self.busy[host] = max(self.busy.get(host, 0.0), loop.time()) + took / self.share
+                self._wake_next(host, loop)
             try:
                 act, with_ = job.send, (yield step)
             except BaseException as why:
