--- a/tests/scale.py
+++ b/tests/scale.py
@@ -335,6 +335,8 @@
             sockets=max(net.most.get(f"10.0.0.{n}", 0) for n in range(3)), refused=net.refused,
             late_s=max((c.admission.processor.late_s(users.now()) for c in alive if hasattr(c, "admission")), default=0.0),
             longest_s=fleet.longest(), real_s=time.perf_counter() - wall,
+            takeovers={team: [owner.takeover.machines, len(owner.part.jobs) if owner.part else 0, owner.takeover.words()]
+                       for c in alive for team, owner in c.owners.items() if hasattr(owner, "takeover")},
         )  # fmt: skip
 
     simulate(main, seed, meter)
