--- a/tests/scale.py
+++ b/tests/scale.py
@@ -341,7 +341,7 @@
 
     simulate(main, seed, meter)
     if meter.profile:
-        pstats.Stats(meter.profile).sort_stats("tottime").print_stats(45)
+        pstats.Stats(meter.profile).sort_stats("tottime").print_stats(25).sort_stats("cumulative").print_stats("ashdock", 40)
     return out
 
 
--- a/tests/simtime.py
+++ b/tests/simtime.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 WALL = 1_700_000_000.0
+BACKLOG = 128  # connections that wait to be accepted
 
 
 class _NoSelect(selectors.DefaultSelector):
@@ -63,8 +64,12 @@
         self.closed = False
         self.transport = _Transport(self)
         self.last = 0.0
-        net.sockets[here] = net.sockets.get(here, 0) + 1
-        net.most[here] = max(net.most.get(here, 0), net.sockets[here])
+        self.held = False  # a socket of its process; one that has not been accepted yet waits in the kernel
+
+    def hold(self) -> None:
+        self.held = True
+        self.net.sockets[self.here] = self.net.sockets.get(self.here, 0) + 1
+        self.net.most[self.here] = max(self.net.most.get(self.here, 0), self.net.sockets[self.here])
 
     def write(self, data: bytes) -> None:
         if not self.closed and data:
@@ -96,7 +101,8 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            self.net.sockets[self.here] -= 1
+            if self.held:
+                self.net.sockets[self.here] -= 1
             self._deliver(lambda other: other.reader.feed_eof())
 
     def reset(self) -> None:
@@ -133,6 +139,7 @@
         self.sockets: dict[str, int] = {}  # host: how many it holds
         self.most: dict[str, int] = {}  # and at the most has held
         self.limits: dict[str, int] = {}  # host: beyond which new connections fail
+        self.waiting: dict[str, int] = {}  # host: connections that nobody has accepted yet
         self.refused = 0
         self.booting = ""  # the host that a task is being made for, if not for the one that makes it
 
@@ -156,7 +163,8 @@
         await asyncio.sleep(self.delay(here, host))
         if where not in self.servers:
             raise ConnectionRefusedError
-        if any(self.sockets.get(end, 0) >= self.limits.get(end, 1 << 30) for end in (here, host)):
+        full = any(self.sockets.get(end, 0) >= self.limits.get(end, 1 << 30) for end in (here, host))
+        if full or self.waiting.get(host, 0) >= BACKLOG:
             self.refused += 1
             raise ConnectionRefusedError
         _, serve = self.servers[where]
@@ -165,11 +173,19 @@
         for where_, end in ((here, near), (host, far)):
             ends = self.ends.setdefault(where_, [])
             ends.append(end)
-            if len(ends) > 64 and len(ends) > 2 * self.sockets[where_]:
+            if len(ends) > 64 and len(ends) > 2 * self.sockets.get(where_, 0):
                 self.ends[where_] = [one for one in ends if not one.closed]
-        spawn(self, host, serve(far.reader, far))
+        near.hold()
+        self.waiting[host] = self.waiting.get(host, 0) + 1
+        spawn(self, host, self._accepted(serve, far))
         return near.reader, near
 
+    async def _accepted(self, serve: Callable[..., Awaitable[None]], far: End) -> None:
+        self.waiting[far.here] = max(0, self.waiting.get(far.here, 0) - 1)
+        if not far.closed:
+            far.hold()
+            await serve(far.reader, far)
+
     async def start_server(self, serve: Callable[..., Awaitable[None]], host: str, port: int, **_: Any) -> _SimServer:
         where = f"{host}:{port}"
         self.servers[where] = (host, serve)
@@ -183,6 +199,7 @@
         """End a process without warning: its connections are reset, nothing of it goes on."""
         for where in [where for where, (name, _) in self.servers.items() if name == host]:
             del self.servers[where]
+        self.waiting.pop(host, None)
         for task in list(self.tasks.pop(host, ())):
             task.cancel()
         for end in self.ends.pop(host, []):
