Loans that are not written now are not counted as on their way

Cause: what the leader decided beyond a few seconds' writes, or while loans were being written, was noted as moving all the same: the machine stood there for half a lease, and the want counted as met. Change: Allotment.not_lent.

--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -204,6 +204,11 @@
         out += self._returns(pool, idle, wants, now)
         return out
 
+    def not_lent(self, machines: Iterable[str]) -> None:
+        """What was to move and does not, this time."""
+        for name in machines:
+            self.coming.pop(name, None)
+
     @staticmethod
     def _requests(rents: dict[tuple[str, str, str, bool], int]) -> list[Rent]:
         """One request for each type, zone and kind, whatever teams it is for."""
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -175,8 +175,12 @@
                     house.to_owner(part, Give(part, to))
                 case Release(machines):
                     self._spawn(self._mark_all(machines, "returned"))
-        if lend and not self.lending:
-            self._spawn(self._assign(lend))
+        if lend:
+            # What is not written now is neither lent nor on its way: counted as that, it stood there for half a lease.
+            most = 0 if self.lending else max(1, int(LOANS_S * self.house.state.writes.per_s))
+            self.allotment.not_lent(list(lend)[most:])
+            if most:
+                self._spawn(self._assign(dict(list(lend.items())[:most])))
         return max(house.tick_s, pause_s(house.now() - now, CHOOSING))
 
     def _entry(self, name: str) -> Entry | None:
@@ -217,8 +221,6 @@
         """Lend what stands in the pool: no more at a time than is written in a few rounds, the rest by what is lacking then. Hundreds lent at
         once took half a minute; meanwhile each round chose them again, their workers reported as unrecorded again, and what was
         written twice failed and counted (2,648 machines: half of the state service's limit went into that, and starts waited)."""
-        most = max(1, int(LOANS_S * self.house.state.writes.per_s))
-        lend = dict(list(lend.items())[:most])
         self.lending.update(lend)
         try:
             await self._assign_now(lend)
