Admission: what nobody read is gone, a shortage's picture is made only when it is told

Found on reading the whole change once more: a connection's use was kept twice, the door's peak and the desk's settings were read by nobody, each refusal in a flood worked out a line for the log that only the first one writes, the controller turned a refusal into an answer beside front.refused, and tests/fleet.py had a crash that nothing calls. Behaviour as it is.

--- a/ashdock/admission/desk.py
+++ b/ashdock/admission/desk.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
@@ -44,9 +45,9 @@
         self.last = 0.0
         self.turned_away = 0
 
-    def runs_short(self, now: float, picture: str) -> None:
+    def runs_short(self, now: float, picture: Callable[[Short, float], str]) -> None:
         if self.began is None:
-            log.warning("short of %s: %s", self.what.value, picture)
+            log.warning("short of %s: %s", self.what.value, picture(self.what, now))
             self.began, self.turned_away = now, 0
         self.last = now
 
@@ -60,7 +61,6 @@
     """One for a controller. Asked by the front for users' requests, by the server for connections."""
 
     def __init__(self, shared: Shared, peers: int) -> None:
-        self.shared = shared
         self.shares = shares_of(shared.machine_limits.max_connections, peers)
         # A worker that has not reported for two and a half of its periods reports elsewhere, or not at all.
         self.door = Door(self.shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5 * shared.workers.report_s)
@@ -95,7 +95,7 @@
     def _refuse(self, what: str, of: Short, status: int, why: str, retry_after: int, now: float) -> Refusal:
         self.refused[what, of] += 1
         shortage = self.shortages[of]
-        shortage.runs_short(now, self.picture(of, now))
+        shortage.runs_short(now, self.picture)
         shortage.turned_away += 1
         return Refusal(status, why, retry_after)
 
@@ -115,7 +115,7 @@
         self.processor.ticked(late_s, now)
         ended = sum(self.door.ended.values())
         if self.door.short and ended > self.told_ended:
-            self.shortages[Short.SOCKETS].runs_short(now, self.picture(Short.SOCKETS, now))
+            self.shortages[Short.SOCKETS].runs_short(now, self.picture)
         self.told_ended = ended
         for shortage in self.shortages.values():
             if now - shortage.last > self.calm_s:
--- a/ashdock/admission/door.py
+++ b/ashdock/admission/door.py
@@ -22,10 +22,9 @@
 
 
 class _Connection:
-    __slots__ = ("phase", "since", "use")
+    __slots__ = ("phase", "since")
 
     def __init__(self, now: float) -> None:
-        self.use = Use.NEW
         self.phase = ConnectionPhase.ASKING  # whoever connects is to ask at once
         self.since = now
 
@@ -42,7 +41,6 @@
         self.open: dict[Use, OrderedDict[Hashable, _Connection]] = {use: OrderedDict() for use in Use}
         self.use: dict[Hashable, Use] = {}
         self.ended: Counter[tuple[Use, str]] = Counter()  # by use and why, since the start
-        self.peak = 0  # the most that were open at once
 
     def __len__(self) -> int:
         return len(self.use)
@@ -69,7 +67,6 @@
             self._end(instead, "made place")
         self.use[key] = Use.NEW
         self.open[Use.NEW][key] = _Connection(now)
-        self.peak = max(self.peak, len(self))
         return Arrival(True, instead)
 
     def asks(self, key: Hashable, now: float) -> None:
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -16,7 +16,7 @@
 from ashdock.core.job import spec_of_record
 from ashdock.core.part import Part
 from ashdock.core.telling import Owed, Picture, Recalled
-from ashdock.front import Front, error, use_of
+from ashdock.front import Front, refused, use_of
 from ashdock.leader import Leader
 from ashdock.net.budget import Demand, Turn
 from ashdock.net.cloud import CloudClient, CloudTrouble
@@ -157,8 +157,7 @@
             due = max(due, now)
 
     def _no_place(self) -> Answer:
-        refusal = self.admission.no_place(time.monotonic())
-        return error(refusal.status, refusal.why, refusal.retry_after)
+        return refused(self.admission.no_place(time.monotonic()))
 
     # -- how well we are connected ---------------------------------------------------------------------------
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -160,13 +160,3 @@
         )
         self.controllers[n] = controller = Controller(told, random.Random(self.rng.random()))
         spawn(self.net, f"10.0.0.{n}", controller.run())
-
-    def crash(self, n: int, back_after: float) -> None:
-        self.net.kill(f"10.0.0.{n}")
-        self.controllers.pop(n, None)
-
-        async def back() -> None:
-            await asyncio.sleep(back_after)
-            self.boot(n)
-
-        spawn(self.net, "users", back())
