--- a/ashdock/admission/shares.py
+++ b/ashdock/admission/shares.py
@@ -18,6 +18,9 @@
     CLOUD = "cloud"
     ORDERS = "orders"  # ours to workers
 
+    # Members are told apart by identity. Hashing their names instead, fifteen times a report, was a twelfth of answering one.
+    __hash__ = object.__hash__
+
 
 # Of the limit, places that nobody else may take, and the least that makes sense. What is left of the limit after all of them is for
 # users before workers: a worker's connection can be opened anew for each report, a user's cannot without its user noticing.
--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -6,29 +6,18 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from ashdock.core.machine import capacity
 from ashdock.core.placement import Barren, Slots
-from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
+from ashdock.core.stock import Kind, Lent, Stock
+from ashdock.core.telling import Owed, Picture, Recalled, Want
 from ashdock.settings import Renting, Shared
 from ashdock.wire.messages import MachineType
 
 
-class Lent(NamedTuple):
-    """A machine's record, as everyone sees it."""
-
-    name: str
-    part: str
-    type: str
-    zone: str
-    spot: bool
-    stamp: int
-    doomed: str
-    images: frozenset[str] = frozenset()
-
-
 class Rent(NamedTuple):
     """One request to the cloud, for all teams that lack such machines: it takes few requests a second."""
 
@@ -137,13 +126,19 @@
             for name, idle_s in picture.idle
             if name in lent and lent[name].part == picture.team and name not in self.coming
         }
-        busy = {
-            item.machine: (lent[item.machine], item)
+        empty = Stock(
+            # The cheap kind first, since it is the one to keep.
+            ((float(not machine.spot), rank), 0, machine)
+            for rank, machines in ((0.0, pool.values()), (1.0, [machine for machine, _ in idle.values()]))
+            for machine in machines if machine.type in self.catalog
+        )  # fmt: skip
+        busy = Stock(
+            ((item.loss_s, 0.0), item.priority, lent[item.machine])
             for picture in pictures.values()
             for item in picture.busy
             if item.machine in lent and lent[item.machine].part == picture.team and item.machine not in self.recalling
             and lent[item.machine].type in self.catalog
-        }  # fmt: skip
+        )  # fmt: skip
         self.now = now
         out: list[Decision] = []
         small = {team for team, picture in pictures.items() if picture.machines * 2 * len(pictures) < len(lent)}
@@ -164,7 +159,7 @@
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             if want.together and left > 0 and (want.whole or not want.zone):
-                scores = self._zones(team, want._replace(zone=""), pool, idle, busy, spare)
+                scores = self._zones(team, want._replace(zone=""), empty, busy, spare)
                 if scores.get(want.zone, 0.0) < left:
                     # The rest of the gang is not to be had where its owner would have it.
                     zone = max(sorted(scores), key=lambda zone: scores[zone], default="")
@@ -172,9 +167,9 @@
                         left = max(left, want.whole)
                         want = want._replace(zone=zone, tasks=left)
             # Calling back a machine that has the image is sooner than fetching it on one that stands empty.
-            left = self._lend(team, want, left, pool, idle, out, now, cached=True)
+            left = self._lend(team, want, left, empty, out, now, cached=True)
             left = self._recall(team, want, left, busy, spare, out, cached=True)
-            left = self._lend(team, want, left, pool, idle, out, now)
+            left = self._lend(team, want, left, empty, out, now)
             left = self._recall(team, want, left, busy, spare, out)
             # With enough requests on their way, the rest is asked for together once those are answered.
             while left > 0 and len(self.renting_now) < self.most_requests:
@@ -201,6 +196,9 @@
         asked = self._requests(rents)
         out += asked
         self.renting_now += asked
+        for name in empty.taken:
+            pool.pop(name, None)
+            idle.pop(name, None)
         out += self._returns(pool, idle, wants, now)
         return out
 
@@ -226,6 +224,10 @@
         whose own work has waited less passes on what comes free. Without this, the machines stayed where they
         were when the cloud ran out, and one team's gangs waited a minute while another's waited seconds."""
         out: list[Decision] = []
+        kinds: dict[str, set[tuple[str, str, bool]]] = {}
+        for machine in lent.values() if unmet else ():
+            if machine.type in self.catalog:
+                kinds.setdefault(machine.part, set()).add((machine.type, machine.zone, machine.spot))
         for team, want, left in unmet:
             lender, most_slack = "", want.slack_s + self.boot_s / 2
             for part, picture in pictures.items():
@@ -239,9 +241,7 @@
                 if not like or any(other.guaranteed and not want.guaranteed for other in like):
                     continue
                 slack = min(other.slack_s for other in like)
-                if slack > most_slack and any(
-                    m.part == part and self._suits(want, m.type, m.zone, m.spot) and m.type in self.catalog for m in lent.values()
-                ):
+                if slack > most_slack and any(self._suits(want, *kind) for kind in kinds.get(part, ())):
                     lender, most_slack = part, slack
             if lender:
                 self.owed_at[lender, team] = now
@@ -291,18 +291,18 @@
             return False
         return want.spot or not spot
 
-    def _zones(
-        self, team: str, want: Want, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
-        busy: dict[str, tuple[Lent, Busy]], spare: dict[str, int],
-    ) -> dict[str, float]:  # fmt: skip
+    def _zones(self, team: str, want: Want, empty: Stock, busy: Stock, spare: dict[str, int]) -> dict[str, float]:
         """How many more of a gang's tasks each zone would take: on what stands empty, can be recalled, or rented."""
         score: dict[str, float] = {}
-        empty = [*pool.values(), *(machine for machine, _ in idle.values() if machine.part != team)]
-        recallable = [machine for machine, at_work in busy.values() if self._may_recall(team, want, machine, at_work, spare)]
-        for worth, machines in ((1.0, empty), (0.99, recallable)):
-            for machine in machines:
-                if machine.type in self.catalog and self._suits(want, machine.type, machine.zone, machine.spot):
-                    score[machine.zone] = score.get(machine.zone, 0.0) + worth * self._per(machine, want)
+
+        def add(kind: Kind, number: int, worth: float) -> None:
+            if number:
+                score[kind.zone] = score.get(kind.zone, 0.0) + number * worth * self._per(kind.type, want)
+
+        for shelf in empty.shelves_for(lambda kind: kind.part != team and self._suits(want, kind.type, kind.zone, kind.spot)):
+            add(shelf.kind, empty.count(shelf, math.inf), 1.0)
+        for shelf in busy.shelves_for(lambda kind: self._suits(want, kind.type, kind.zone, kind.spot)):
+            add(shelf.kind, busy.count(shelf, self._most_loss(team, want, shelf.kind, spare)), 0.99)
         for shape in self.catalog.values():
             for zone in shape.yards:
                 kinds = (True, False) if want.spot else (False,)
@@ -310,23 +310,23 @@
                     score[zone] = score.get(zone, 0.0) + 0.9 * max(want.tasks, want.whole)
         return score
 
-    def _per(self, machine: Lent, want: Want) -> int:
-        return capacity(self.catalog[machine.type], want.cpus, want.gpus, want.memory)
-
-    def _may_recall(self, team: str, want: Want, machine: Lent, at_work: Busy, spare: dict[str, int]) -> bool:
-        """A guarantee is regained from teams beyond theirs, and work of higher priority takes the place of
-        lower where less is lost by it than a boot's wait would cost."""
-        if machine.part == team:
-            return False
-        boot_s = self.catalog[machine.type].boot_s
-        steps = want.priority - at_work.priority
-        if want.guaranteed and spare[machine.part] > 0:
-            return True
-        return steps > 0 and want.slack_s < boot_s and at_work.loss_s <= boot_s * steps
+    def _per(self, type_: str, want: Want) -> int:
+        return capacity(self.catalog[type_], want.cpus, want.gpus, want.memory)
+
+    def _most_loss(self, team: str, want: Want, kind: Kind, spare: dict[str, int]) -> float:
+        """Up to what loss a machine of that class may be recalled; -1: not at all. A guarantee is regained from teams beyond theirs,
+        as far as they are beyond it, and work of higher priority takes the place of lower where less is lost by it than a boot's
+        wait would cost."""
+        if kind.part == team:
+            return -1.0
+        if want.guaranteed and spare[kind.part] > 0:
+            return math.inf
+        boot_s = self.catalog[kind.type].boot_s
+        steps = want.priority - kind.priority
+        return boot_s * steps if steps > 0 and want.slack_s < boot_s else -1.0
 
     def _recall(
-        self, team: str, want: Want, left: int, busy: dict[str, tuple[Lent, Busy]], spare: dict[str, int],
-        out: list[Decision], cached: bool = False,
+        self, team: str, want: Want, left: int, busy: Stock, spare: dict[str, int], out: list[Decision], cached: bool = False
     ) -> int:  # fmt: skip
         """Sooner than a machine boots."""
         # What can be recalled only grows less within a round: wants alike in all that counts need not look again.
@@ -334,59 +334,37 @@
                  want.slack_s < self.boot_s, want.image if cached else None)  # fmt: skip
         if left <= 0 or not busy or self.barren.holds(alike, ANY_NEED, 1):
             return left
-        options: list[tuple[float, str, Lent]] = []
-        for name, (machine, at_work) in busy.items():
-            if not self._suits(want, machine.type, machine.zone, machine.spot):
-                continue
-            if cached and want.image not in machine.images:
-                continue
-            if not self._may_recall(team, want, machine, at_work, spare):
-                continue
-            options.append((at_work.loss_s, name, machine))
-        if not options:
-            self.barren.note(alike, ANY_NEED, 1)
-        for _, name, machine in sorted(options):
-            if left <= 0:
-                break
-            out.append(Recalled(machine.part, team, [name]))
-            self.recalling[name] = (team, self.now)
-            busy.pop(name)
+        shelves = busy.shelves_for(lambda kind: self._suits(want, kind.type, kind.zone, kind.spot), want.image if cached else None)
+        for machine in busy.take(shelves, lambda kind: self._most_loss(team, want, kind, spare)):
+            out.append(Recalled(machine.part, team, [machine.name]))
+            self.recalling[machine.name] = (team, self.now)
             spare[machine.part] -= 1
-            left -= max(1, self._per(machine, want))
+            left -= max(1, self._per(machine.type, want))
+            if left <= 0:
+                return left
+        self.barren.note(alike, ANY_NEED, 1)
         return left
 
-    def _lend(
-        self, team: str, want: Want, left: int, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]],
-        out: list[Decision], now: float, cached: bool = False,
-    ) -> int:  # fmt: skip
+    def _lend(self, team: str, want: Want, left: int, empty: Stock, out: list[Decision], now: float, cached: bool = False) -> int:
         """Machines that stand empty need no boot."""
         alike = ("lend", team, want.types, want.zone, want.spot, want.idle, want.image if cached else None)
         need = (want.cpus, want.gpus, want.memory)
-        if left <= 0 or self.barren.holds(alike, need, 1):
+        if left <= 0 or not empty or self.barren.holds(alike, need, 1):
             return left
-        options = [(0.0, machine) for machine in pool.values()]
-        options += [(1.0, machine) for machine, _ in idle.values() if machine.part != team]
-        # The cheap kind first, since it is the one to keep.
-        options.sort(key=lambda item: (not item[1].spot, item[0], item[1].name))
-        for _, machine in options:
-            if left <= 0:
-                break
-            if machine.type not in self.catalog or not self._suits(want, machine.type, machine.zone, machine.spot):
-                continue
-            if cached and want.image not in machine.images:
-                continue
-            if want.idle and self._cheap(want) and not machine.spot:
-                continue
-            per = self._per(machine, want)
-            if per <= 0:
-                continue
+        only_cheap = want.idle and self._cheap(want)
+
+        def suits(kind: Kind) -> bool:
+            if kind.part == team or (only_cheap and not kind.spot) or not self._suits(want, kind.type, kind.zone, kind.spot):
+                return False
+            return self._per(kind.type, want) > 0
+
+        for machine in empty.take(empty.shelves_for(suits, want.image if cached else None), lambda kind: math.inf):
             out.append(Move(machine.part, machine.name, team))
             self.coming[machine.name] = (team, now)
-            pool.pop(machine.name, None)
-            idle.pop(machine.name, None)
-            left -= per
-        if left > 0:
-            self.barren.note(alike, need, 1)
+            left -= self._per(machine.type, want)
+            if left <= 0:
+                return left
+        self.barren.note(alike, need, 1)
         return left
 
     def _cheap(self, want: Want) -> bool:
@@ -448,16 +426,18 @@
         self, pool: dict[str, Lent], idle: dict[str, tuple[Lent, float]], wants: list[tuple[str, Want]], now: float
     ) -> list[Decision]:
         out: list[Decision] = []
+        wanted: dict[tuple[str, str, bool], bool] = {}
         for machine, idle_s in idle.values():
             shape = self.catalog[machine.type]
             # Kept as long as the next job would save by it: a boot's time, less the dearer it stands idle.
             share = 1.5 if machine.spot else 0.5 + shape.low_price / (2 * shape.price)
             keep_s = self.renting.idle_boots * shape.boot_s * share
-            wanted = any(
-                self._suits(want, machine.type, machine.zone, machine.spot) and (machine.spot or not (want.idle and self._cheap(want)))
-                for _, want in wants
-            )
-            if idle_s > keep_s and not wanted:
+            if idle_s <= keep_s:
+                continue
+            kind = (machine.type, machine.zone, machine.spot)
+            if kind not in wanted:
+                wanted[kind] = any(self._suits(want, *kind) and (machine.spot or not (want.idle and self._cheap(want))) for _, want in wants)
+            if not wanted[kind]:
                 out.append(Move(machine.part, machine.name, ""))
                 self.sent_back.add(machine.name)
         gone = [name for name in pool if now - self.pool_since.get(name, now) > (self.settle_s / 8 if name in self.sent_back else self.settle_s)]
--- a/ashdock/leader.py
+++ b/ashdock/leader.py
@@ -8,9 +8,10 @@
 
 from ashdock.admission.processor import CHOOSING, pause_s
 from ashdock.again import walk
-from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
+from ashdock.core.allotment import Allotment, GivePart, Move, Release, Rent
 from ashdock.core.bounds import Bounds
 from ashdock.core.machine import images_of, trimmed
+from ashdock.core.stock import Lent
 from ashdock.core.telling import Owed, Picture, Recalled
 from ashdock.net.budget import Turn
 from ashdock.net.cloud import CloudClient, CloudTrouble, NoCapacity
--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import NamedTuple
 
 import h11
@@ -41,6 +42,30 @@
            500: b"Internal Server Error", 503: b"Service Unavailable"}  # fmt: skip
 
 
+@lru_cache(maxsize=64)
+def head_of(status: int, content_type: bytes, retry_after: int | None, close: bool) -> bytes:
+    """The head of an answer up to its length, which comes last. h11 checks and writes it once for all answers alike: done for each,
+    that was a fifth of what answering thousands of workers cost, and they differ in nothing but their length."""
+    headers = [(b"content-type", content_type)]
+    if retry_after is not None:
+        headers.append((b"retry-after", str(retry_after).encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    headers.append((b"content-length", b"0"))
+    connection = h11.Connection(h11.SERVER)
+    connection.receive_data(b"GET / HTTP/1.1\r\nhost: any\r\n\r\n")
+    while not isinstance(connection.next_event(), h11.EndOfMessage):
+        pass
+    head = connection.send(h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))) or b""
+    return head.removesuffix(b"0\r\n\r\n")
+
+
+def message(answer: Answer, close: bool, body: bool = True) -> bytes:
+    """An answer as it is sent. Without its `body` for HEAD."""
+    head = head_of(answer.status, answer.content_type, answer.retry_after, close)
+    return b"%b%d\r\n\r\n%b" % (head, len(answer.body), answer.body if body else b"")
+
+
 def all_alike(target: str) -> Use:
     return Use.USER
 
@@ -101,10 +126,10 @@
         if arrival.instead is not None:
             arrival.instead.transport.abort()  # type: ignore[attr-defined]
         self.open.add(writer)
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         try:
-            while await self._one(connection, reader, writer):
-                connection.start_next_cycle()
+            ahead: bytes | None = b""
+            while ahead is not None:
+                ahead = await self._one(ahead, reader, writer)
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
         except h11.ProtocolError as why:
@@ -122,38 +147,49 @@
             if connection.they_are_waiting_for_100_continue:
                 writer.write(connection.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
             data = await reader.read(MOST_BODY)
-            if not data and connection.their_state in (h11.IDLE, h11.DONE):
+            if not data and connection.their_state is h11.IDLE:
                 raise EOFError
             connection.receive_data(data)
             self.door.asks(writer, time.monotonic())
 
-    async def _one(self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    async def _one(self, ahead: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes | None:
+        """Answer one request, of which `ahead` came with the one before. What came after it, or None when the connection is over."""
+        # Each request has a parser of its own, and only reading goes through it: with one for all of a connection, each answer had to
+        # be told to it event by event.
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        if not ahead:
+            ahead = await reader.read(MOST_BODY)
+            if not ahead:
+                return None
+            self.door.asks(writer, time.monotonic())
+        connection.receive_data(ahead)
         request = await self._event(connection, reader, writer)
         if not isinstance(request, h11.Request):
-            return False
+            return None
         body = bytearray()
         while True:
             event = await self._event(connection, reader, writer)
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MOST_BODY:
-                    self._send(connection, writer, Answer(400, b'{"error":"the body exceeds 64 KiB"}'), close=True)
+                    writer.write(message(Answer(400, b'{"error":"the body exceeds 64 KiB"}'), close=True))
                     await writer.drain()
-                    return False
+                    return None
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
-                return False
+                return None
         target = request.target.decode("ascii")
         if not self.door.told(writer, self.use_of(target)):
-            self._send(connection, writer, self.refused(), close=True)
+            writer.write(message(self.refused(), close=True))
             await writer.drain()
-            return False
+            return None
         answer = await self._answer(Request(request.method.decode("ascii"), target, bytes(body)))
         # Whose connections have outgrown their share is told to close it together with the answer: no request is on its way then.
-        self._send(connection, writer, answer, close=not self.door.answered(writer, time.monotonic()))
+        stays = self.door.answered(writer, time.monotonic()) and connection.their_state is h11.DONE
+        writer.write(message(answer, close=not stays, body=request.method != b"HEAD"))
         await writer.drain()
-        return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+        return connection.trailing_data[0] if stays else None
 
     async def _answer(self, request: Request) -> Answer:
         try:
@@ -162,16 +198,6 @@
             log.exception("%s %s failed", request.method, request.target)
             return Answer(503, b'{"error":"internal"}', retry_after=1)
 
-    def _send(self, connection: h11.Connection, writer: asyncio.StreamWriter, answer: Answer, close: bool) -> None:
-        headers = [(b"content-type", answer.content_type), (b"content-length", str(len(answer.body)).encode())]
-        if answer.retry_after is not None:
-            headers.append((b"retry-after", str(answer.retry_after).encode()))
-        if close:
-            headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=answer.status, headers=headers, reason=REASONS.get(answer.status, b""))
-        parts = [connection.send(head), connection.send(h11.Data(data=answer.body)), connection.send(h11.EndOfMessage())]
-        writer.write(b"".join(part for part in parts if part))
-
     def _refuse(self, writer: asyncio.StreamWriter, why: str) -> None:
         body = b'{"error":"not HTTP/1.1 as understood here"}'
         head = f"HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,11 +11,12 @@
 from ashdock.core import park as parking
 from ashdock.core import placement as placing
 from ashdock.core import telling
-from ashdock.core.allotment import Allotment, GivePart, Lent, Move, Release, Rent
+from ashdock.core.allotment import Allotment, GivePart, Move, Release, Rent
 from ashdock.core.job import Job, JobPhase, chunk_size
 from ashdock.core.machine import Machine, trimmed
 from ashdock.core.part import Part
 from ashdock.core.quota import Usage, can_ever, guaranteed
+from ashdock.core.stock import Lent
 from ashdock.core.task import Failure, Phase, ranges_of
 from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
 from ashdock.core.worth import Worth
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -162,12 +162,17 @@
                 pass
 
 
+STAYS = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: "
+CLOSES = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\ncontent-length: "
 MESSAGES = [  # bytes sent -> start of what comes back
     (b"nonsense\r\n\r\n", b"HTTP/1.1 400"), (b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 400"),
     (b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\n", b"HTTP/1.1 400"), (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n" + b"x" * 99999, b"HTTP/1.1 400"),
     (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", b"HTTP/1.1 200"), (b"GET / HTTP/1.1\r\n", b""), (b"", b""),
     (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"HTTP/1.1 400"),
     (b"POST /boom HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 503"),
+    # Whoever asks for an end of the connection is told of it, and what came with one request is taken for the next.
+    (b"GET / HTTP/1.0\r\n\r\n", CLOSES + b"2\r\n\r\n{}"), (b"HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", CLOSES + b"2\r\n\r\n"),
+    (b"GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", STAYS + b"2\r\n\r\n{}" + CLOSES + b"2\r\n\r\n{}"),
 ]  # fmt: skip
 
 
@@ -185,7 +190,7 @@
         await server.start("10.0.0.1", 80)
         reader, writer = await net.open_connection("10.0.0.1", 80)
         writer.write(sent)
-        got: bytes = await asyncio.wait_for(reader.read(4096), 60)
+        got: bytes = await asyncio.wait_for(reader.read(), 60)
         writer.close()
         await asyncio.sleep(60)
         assert not server.open
