--- a/ashdock/admission/desk.py
+++ b/ashdock/admission/desk.py
@@ -4,13 +4,14 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import NamedTuple
 
 from ashdock.admission.door import Door
 from ashdock.admission.processor import Processor
 from ashdock.admission.shares import Use, shares_of
+from ashdock.fairness.rush import Rush
 from ashdock.settings import Shared
 
 log = logging.getLogger("ashdock.admission")
@@ -60,7 +61,9 @@
 class Admission:
     """One for a controller. Asked by the front for users' requests, by the server for connections."""
 
-    def __init__(self, shared: Shared, peers: int) -> None:
+    def __init__(self, shared: Shared, peers: int, weights: Mapping[str, float] | None = None) -> None:
+        self.rush = Rush([team.name for team in shared.teams], 2 * shared.workers.report_s, 2 * ACCEPT_WAITS_S, weights)
+        self.turned_away: Counter[str] = Counter()  # submissions told to come back, by team
         self.shares = shares_of(shared.machine_limits.max_connections, peers)
         # A worker that has not reported for two and a half of its periods reports elsewhere, or not at all.
         self.door = Door(self.shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5 * shared.workers.report_s)
@@ -71,16 +74,22 @@
         self.told_ended = 0
         self.line_s = 0.0  # of submissions to be written, when last asked
 
-    def submission(self, behind_s: float, now: float) -> Refusal | None:
-        """`behind_s`: how long what users already wait for takes to be written."""
+    def submission(self, behind_s: float, now: float, team: str = "", each_s: float = 0.0) -> Refusal | None:
+        """`behind_s`: how long what goes before one of that team takes to be written; `each_s`: how long one more of it does, at its share."""
         self.line_s = behind_s
+        self.rush.comes(team, now)
         late_s = self.processor.late_s(now)
-        if late_s > ACCEPT_WAITS_S / 4:
-            return self._refuse("submission", Short.PROCESSOR, 429, "this controller is behind", 1 + int(late_s), now)
+        # What is computed late has no line in which teams could have their turns: whoever brings more than its share goes first.
+        if late_s > ACCEPT_WAITS_S / (8 if self.rush.hot(team) else 4):
+            return self._turn_away(team, Short.PROCESSOR, "this controller is behind", late_s, each_s, now)
         if behind_s > WRITTEN_S:
-            return self._refuse("submission", Short.WRITES, 429, "too many submissions at once", 1 + int(behind_s), now)
+            return self._turn_away(team, Short.WRITES, "too many submissions at once", behind_s, each_s, now)
         return None
 
+    def _turn_away(self, team: str, of: Short, why: str, wait_s: float, each_s: float, now: float) -> Refusal:
+        self.turned_away[team if team in self.rush.teams else ""] += 1
+        return self._refuse("submission", of, 429, why, self.rush.returns_in(team, wait_s, each_s, now), now)
+
     def question(self, now: float) -> Refusal | None:
         """Questions give way before submissions do: who asks will ask again in any case."""
         late_s = self.processor.late_s(now)
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -52,9 +52,10 @@
         self.gather_s = self.tick_s / 16
         self.bounds = Bounds(self.shared.state)
         self.upgrade = Upgrade(self)
-        self.admission = Admission(self.shared, len(settings.others))
+        weights = settings.operators.fairness.weights
+        self.admission = Admission(self.shared, len(settings.others), weights)
         places = self.admission.shares.certain
-        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared, self.bounds, places[Use.STATE])
+        self.state = StateClient(*address(settings.outside.state, "outside.state"), self.shared, self.bounds, places[Use.STATE], weights)
         self.cloud = CloudClient(*address(settings.outside.cloud, "outside.cloud"), self.shared, places[Use.CLOUD])
         self.worker_client = WorkerClient(self.workers.lease_s / 5, 10 * self.workers.report_s, places[Use.ORDERS])
         peers = [(other.label, *address(other.endpoint, "others")) for other in settings.others]
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -151,6 +151,10 @@
         self.chunk_of(task).touch()
         self.changed()
 
+    @property
+    def job_class(self) -> str:
+        return self.spec.job_class
+
     @property
     def doubtful(self) -> bool:
         """Whether it looks as if submitted with a mistake: none of its tasks has ended well, it has used up its retry in
--- a/ashdock/core/ledger.py
+++ b/ashdock/core/ledger.py
@@ -79,12 +79,13 @@
         self.changing: dict[str, None] = {}  # machines whose record may have to be written
         self.leftover: list[tuple[str, int]] = []  # work of ended jobs, still to be deleted
 
-    def next_txn(self, short: bool = False) -> Txn | None:
+    def next_txn(self, short: bool = False, a_second: float = math.inf) -> Txn | None:
         """The changes not yet durable, as many as one transaction takes: first what starts and outcomes wait for. `short`: the
-        state service takes hardly as many changes as there are."""
+        state service takes hardly as many changes as there are. `a_second`: how many of them it takes of this controller."""
         part = self.part
-        # No more at a time than our share of a second: what comes after must not wait longer than that.
-        txn = Txn(max(4, min(part.bounds.ops, int(part.bounds.write_rps / part.shared.size))))
+        # No more at a time than our share of a second: what comes after must not wait longer than that. As it is now, and not an equal
+        # one: of a controller with half as much, one transaction took two seconds' worth, and users who came then were sent away.
+        txn = Txn(max(4, min(part.bounds.ops, int(min(part.bounds.write_rps / part.shared.size, a_second)))))
         part.parks.fit(part.bounds.value_bytes)
         later: list[Job] = []
         for job in list(self.touched.values()):
--- a/ashdock/core/part.py
+++ b/ashdock/core/part.py
@@ -26,6 +26,7 @@
 from ashdock.core.task import Failure, Phase, Placement, TaskState, ranges_of
 from ashdock.core.telling import Telling, Want
 from ashdock.core.worth import Worth
+from ashdock.fairness.classes import Classes
 from ashdock.settings import Operators, Shared, Team
 from ashdock.wire.messages import FORGET, KILL, RUN, MachineType, Order, Report, Spec, split_task, task_name
 
@@ -72,6 +73,7 @@
         self.ticked = -math.inf
         self.clock = -math.inf  # when somebody last told us the time
         self.estimates = Estimates()
+        self.classes = Classes(shared.objectives, shared.workers.report_s)
         self.reports = Reports(self, self.estimates)
         self.telling = Telling(self)
         self.passes = Passes(self, self.estimates, self.telling)
@@ -160,6 +162,7 @@
         return job
 
     def _over(self, job: Job, now: float) -> None:
+        self.classes.done(job.id, now)
         job.over(now if self.bounds.agreed else None)
 
     def add_machine(self, name: str, value: dict[str, Any], stamp: int, now: float) -> None:
@@ -418,6 +421,7 @@
             return
         log.info("job %s is cancelled; %d tasks to stop", job_id, len(job.live))
         job.cancel(at)
+        self.classes.served.withdrawn(job_id)
         job.stamp = max(job.stamp, stamp)
         job.breaking = None
         self.pipelines.cancelled(job, now)
--- a/ashdock/core/passes.py
+++ b/ashdock/core/passes.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 from ashdock.core import placement as placing
@@ -16,6 +16,7 @@
 from ashdock.core.task import Phase, Placement
 from ashdock.core.telling import Telling, Want
 from ashdock.core.worth import Worth
+from ashdock.fairness.classes import Classes
 from ashdock.settings import Shared, Team, Workers
 from ashdock.wire.messages import MachineType, Spec
 
@@ -36,6 +37,7 @@
     machines: dict[str, Machine]
     usage: Usage
     worth: Worth
+    classes: Classes
     strange: dict[str, set[str]]
     wants: list[Want]
     reserved: set[str]
@@ -91,8 +93,16 @@
             and (job.spec.kind != "gang" or job.ready == job.spec.tasks)
         ]  # fmt: skip
         out.sort(key=lambda job: self._rank(job, now, look))
+        lifted = self.part.classes.lifted(out, self._can_run(out), now)
+        if lifted:
+            out.sort(key=lambda job: (-job.priority, job.id not in lifted))
         return out
 
+    def _can_run(self, jobs: list[Job]) -> Iterator[str]:
+        """Those for which the part has a machine of a kind that they allow, be it full."""
+        kinds = {(machine.type, machine.zone, machine.spot) for machine in self.part.machines.values() if machine.usable}
+        return (job.id for job in jobs if any(placing.permits(job.spec, *kind) for kind in kinds))
+
     def slack(self, job: Job, now: float) -> float:
         """Seconds until the job had better be running."""
         spec = job.spec
--- a/ashdock/core/reports.py
+++ b/ashdock/core/reports.py
@@ -9,6 +9,7 @@
 from ashdock.core.job import Job
 from ashdock.core.machine import Machine, MachinePhase
 from ashdock.core.task import Failure, Phase, Placement
+from ashdock.fairness.classes import Classes
 from ashdock.settings import Workers
 from ashdock.wire.messages import ENDED, Held, Order, Report, split_task
 
@@ -23,6 +24,7 @@
     workers: Workers
     strange: dict[str, set[str]]
     stale: bool
+    classes: Classes
 
     def token(self, machine: Machine) -> int: ...
 
@@ -129,6 +131,7 @@
 
     def _runs(self, placement: Placement, now: float) -> None:
         job = self.part.jobs[placement.job]
+        self.part.classes.served.started(job.id, 1, now)
         if job.started_at is None:
             job.started_at = now
             waited = placement.placed_at - job.since
--- a/ashdock/core/telling.py
+++ b/ashdock/core/telling.py
@@ -12,6 +12,7 @@
 from ashdock.core.losses import machine_loss
 from ashdock.core.machine import Machine, capacity
 from ashdock.core.quota import Usage, guaranteed
+from ashdock.fairness.classes import Classes
 from ashdock.settings import Team, Workers
 from ashdock.wire.messages import MachineType, Spec
 
@@ -101,6 +102,7 @@
     wants: list[Want]
     reserved: set[str]
     looked: int
+    classes: Classes
 
     def drain(self, machine: Machine, now: float) -> None: ...
 
@@ -116,6 +118,8 @@
 
     def came(self, job: Job, now: float) -> None:
         """A new job, and not one read at a takeover: what has come of late tells what is to be expected."""
+        if not job.waits and job.spec.kind != "service":
+            self.part.classes.came(job.id, job.job_class, self.part.name, job.spec.tasks, job.since, job.due)
         if job.spec.deadline_s is None and job.spec.kind != "service" and not job.waits:
             per = max((capacity(shape, job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for shape in self.part.catalog.values()), default=1)
             self.arrived.append((now, -(-job.spec.tasks // max(per, 1)), job.spec))
--- /dev/null
+++ b/ashdock/fairness/line.py
@@ -0,0 +1,67 @@
+"""A line in which each team has its turn, however many stand there for one of them.
+
+Start-time fair queueing (Goyal, Vin, Cheng, "Start-time Fair Queuing", 1996): what comes is stamped with the moment of a virtual clock at
+which it would begin to be served, were all that stand in line served side by side, each team at its weight; the lowest stamp goes first.
+A team that asks for nothing leaves its share to the others; when it comes back its first request is stamped with the present, and so goes
+before all that the others have asked for in advance. Nobody saves up what he has not used.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+from typing import Generic, NamedTuple, TypeVar
+
+Item = TypeVar("Item")
+
+
+class Waiting(NamedTuple, Generic[Item]):
+    start: float  # on the virtual clock
+    amount: float
+    whose: str
+    item: Item
+
+
+class FairLine(Generic[Item]):
+    def __init__(self, weights: Mapping[str, float] | None = None) -> None:
+        self.weights = weights or {}
+        self.clock = 0.0
+        self.queues: dict[str, deque[Waiting[Item]]] = {}
+        self.served_to: dict[str, float] = {}  # by whom, up to when on the virtual clock what he asked for is accounted for
+
+    def __len__(self) -> int:
+        return sum(map(len, self.queues.values()))
+
+    def __bool__(self) -> bool:
+        return bool(self.queues)
+
+    def __iter__(self) -> Iterator[Waiting[Item]]:
+        return (waiting for queue in self.queues.values() for waiting in queue)
+
+    def _start(self, whose: str) -> float:
+        return max(self.clock, self.served_to.get(whose, 0.0))
+
+    def add(self, amount: float, item: Item, whose: str = "") -> None:
+        start = self._start(whose)
+        self.served_to[whose] = start + amount / self.weights.get(whose, 1.0)
+        self.queues.setdefault(whose, deque()).append(Waiting(start, amount, whose, item))
+
+    def first(self) -> Waiting[Item]:
+        """Who is served next. Raises ValueError where nobody waits."""
+        return min((queue[0] for queue in self.queues.values()), key=lambda waiting: waiting.start)
+
+    def leave(self, waiting: Waiting[Item]) -> None:
+        """The first of its team goes, served or not."""
+        queue = self.queues[waiting.whose]
+        queue.popleft()
+        self.clock = max(self.clock, waiting.start)
+        if not queue:
+            del self.queues[waiting.whose]
+            self.served_to = {whose: to for whose, to in self.served_to.items() if to > self.clock or whose in self.queues}
+        if not self.queues:
+            self.served_to.clear()
+
+    def ahead_of(self, whose: str) -> list[Waiting[Item]]:
+        """What would be served before one who came now."""
+        start = self._start(whose)
+        return [waiting for waiting in self if waiting.start <= start]
--- /dev/null
+++ b/ashdock/fairness/served.py
@@ -0,0 +1,137 @@
+"""What "served" means, and the count of it, for each class of jobs and each team.
+
+A job falls due when the most lenient of its class's aims for a start has gone by since it was submitted, or as soon as all of its
+tasks run; where the class has a deadline instead, when that has gone by, or it is done. It counts as served by the share of its tasks
+that were started by then, or wholly if it was done by its deadline. What is withdrawn by its user never falls due. The share of a
+class, or of a team, is the mean over its jobs that are due: one of a hundred tasks counts as much as one of a single task, since each
+has one user who waits for it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+HALF = 0.5  # of which the users say that less is a failed day
+FIRST_WAIT_S = 0.25  # the first bound of a histogram of waits; each further one is twice as long
+BOUNDS = 14  # up to about 34 minutes, beyond which all are alike
+
+
+class Row(NamedTuple):
+    made: int = 0  # submitted
+    accepted: int = 0
+    started: int = 0  # all of its tasks have run
+    done: int = 0
+    due: int = 0
+    served: float = 0.0  # of those that are due, each by its share
+
+    @property
+    def share(self) -> float:
+        """1 while nothing is due."""
+        return self.served / self.due if self.due else 1.0
+
+    def plus(self, other: Row) -> Row:
+        return Row(
+            self.made + other.made, self.accepted + other.accepted, self.started + other.started, self.done + other.done,
+            self.due + other.due, self.served + other.served,
+        )  # fmt: skip
+
+
+@dataclass(slots=True)
+class _Open:
+    """A job that may still change what is counted of it."""
+
+    job_class: str
+    team: str
+    tasks: int
+    made_at: float
+    aim_s: float  # math.inf: no aim for its start
+    due_at: float  # math.inf: no deadline
+    accepted: bool = False
+    begun: int = 0
+    in_time: int = 0
+
+    def row(self, now: float, done: bool = False) -> Row:
+        by_aim = now >= self.made_at + self.aim_s or self.begun >= self.tasks
+        by_deadline = done or now >= self.due_at
+        no_aim = math.isinf(self.aim_s) and math.isinf(self.due_at)
+        due = (by_aim and not math.isinf(self.aim_s)) or (by_deadline and (no_aim or not math.isinf(self.due_at)))
+        started = min(self.in_time / self.tasks, 1.0)
+        served = max(started, 1.0 if done and now <= self.due_at else 0.0)
+        return Row(1, int(self.accepted), int(self.begun >= self.tasks), int(done), int(due), served if due else 0.0)
+
+
+@dataclass
+class Served:
+    open: dict[str, _Open] = field(default_factory=dict)
+    over: dict[tuple[str, str], Row] = field(default_factory=dict)  # by class and team
+    waits: dict[str, list[int]] = field(default_factory=dict)  # by class: starts within FIRST_WAIT_S, twice that, ...
+    waited_s: dict[str, float] = field(default_factory=dict)  # by class, together
+
+    def made(self, job: str, job_class: str, team: str, tasks: int, at: float, aim_s: float = math.inf, due_at: float = math.inf) -> None:
+        """Submitted. Times are seconds of one clock. A job that is known already stays as it is."""
+        self.open.setdefault(job, _Open(job_class, team, max(tasks, 1), at, aim_s, due_at))
+
+    def accepted(self, job: str) -> None:
+        if job in self.open:
+            self.open[job].accepted = True
+
+    def started(self, job: str, tasks: int, at: float) -> None:
+        """So many more of its tasks run. A task that starts again does not count again beyond the job's number."""
+        known = self.open.get(job)
+        if known is None or known.begun >= known.tasks:
+            return
+        known.begun += tasks
+        waited = at - known.made_at
+        if waited <= known.aim_s:
+            known.in_time += tasks
+        counts = self.waits.setdefault(known.job_class, [0] * (BOUNDS + 1))
+        counts[min(max(math.ceil(math.log2(max(waited, 1e-3) / FIRST_WAIT_S)), 0), BOUNDS)] += tasks
+        self.waited_s[known.job_class] = self.waited_s.get(known.job_class, 0.0) + waited * tasks
+
+    def done(self, job: str, at: float) -> None:
+        known = self.open.pop(job, None)
+        if known is not None:
+            self._close(known, known.row(at, done=True))
+
+    def withdrawn(self, job: str) -> None:
+        known = self.open.pop(job, None)
+        if known is not None:
+            self._close(known, Row(1, int(known.accepted), int(known.begun >= known.tasks)))
+
+    def _close(self, known: _Open, row: Row) -> None:
+        key = known.job_class, known.team
+        self.over[key] = self.over.get(key, Row()).plus(row)
+
+    def rows(self, now: float) -> dict[tuple[str, str], Row]:
+        """By ("class", name) and ("team", name)."""
+        out: dict[tuple[str, str], Row] = {}
+        every = [(key, row) for key, row in self.over.items()]
+        every += [((known.job_class, known.team), known.row(now)) for known in self.open.values()]
+        for (job_class, team), row in every:
+            for name in (("class", job_class), ("team", team)):
+                out[name] = out.get(name, Row()).plus(row)
+        return out
+
+    def worst(self, now: float) -> tuple[float, str]:
+        """The smallest share, and whose it is."""
+        return min(((row.share, f"{kind} {name}") for (kind, name), row in self.rows(now).items()), default=(1.0, "nobody"))
+
+    def histogram(self, job_class: str) -> list[tuple[str, float]]:
+        """Bounds in seconds and how many starts waited no longer, as monitoring systems want them."""
+        out, total = [], 0
+        for step, count in enumerate(self.waits.get(job_class, ())):
+            total += count
+            out.append((str(FIRST_WAIT_S * 2**step) if step < BOUNDS else "+Inf", float(total)))
+        return out
+
+
+def jain(values: Iterable[float]) -> float:
+    """Jain's index of fairness: 1 where all are alike, 1/n where one has everything.
+
+    Source: Jain, Chiu, Hawe, "A Quantitative Measure of Fairness and Discrimination", 1984."""
+    had = list(values)
+    squares = sum(value * value for value in had)
+    return sum(had) ** 2 / (len(had) * squares) if squares else 1.0
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -163,7 +163,10 @@
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
         # More than we can write or compute: said at once, since the user would only wait here for nothing.
-        refusal_now = house.admission.submission(house.state.writes.behind_s(Turn.USER), time.monotonic())
+        writes = house.state.writes
+        refusal_now = house.admission.submission(
+            writes.behind_s(Turn.USER, spec.team), time.monotonic(), spec.team, writes.each_s(2, Turn.USER, spec.team)
+        )
         if refusal_now:
             return refused(refusal_now)
         now = house.now()
@@ -187,9 +190,9 @@
         except Unavailable:
             return error(503, "the state service does not answer", self._retry_after())
         path = f"job/{spec.id}"
-        writes = {path: record, f"work/{spec.team}/{spec.id}/job": record}
+        accepted = {path: record, f"work/{spec.team}/{spec.id}/job": record}
         try:
-            stamp = await self._bounded(house.state.txn({path: 0}, writes, turn=Turn.USER))
+            stamp = await self._bounded(house.state.txn({path: 0}, accepted, turn=Turn.USER, whose=spec.team))
         except Conflict:
             try:
                 entry = await self._read(spec.id)
@@ -292,9 +295,10 @@
                 record = {**entry.value, "status": "withdrawn", "cancelled_at": round(house.now(), 3)}
                 record = fitting(record, house.bounds.value_bytes)
                 path = entry.path
-                head = f"work/{spec_of_record(record).team}/{job_id}/job"
+                team = spec_of_record(record).team
+                head = f"work/{team}/{job_id}/job"
                 # Durable first. Every start names the job's stamp, so none can be committed after this.
-                stamp = await self._bounded(house.state.txn({path: entry.stamp}, {path: record, head: record}, turn=Turn.USER))
+                stamp = await self._bounded(house.state.txn({path: entry.stamp}, {path: record, head: record}, turn=Turn.USER, whose=team))
                 log.info("job %s withdrawn", job_id)
                 house.jobs_seen(path, record, stamp)
             except Conflict:
--- a/ashdock/net/budget.py
+++ b/ashdock/net/budget.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import time
-from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import IntEnum
 from typing import NamedTuple
 
+from ashdock.fairness.line import FairLine
+
 
 class Turn(IntEnum):
     """Who goes first. A quarter goes to the next line all the same, by amount, so that none waits for ever. By number of
@@ -32,16 +33,16 @@
 
 
 class Budget:
-    """A bucket that holds `burst_s` seconds' worth, granted in turn. What can wait leaves a reserve."""
+    """A bucket that holds `burst_s` seconds' worth, granted in turn, and within a line by team. What can wait leaves a reserve."""
 
-    def __init__(self, per_s: float, burst_s: float = 1.0, reserve: float = 0.3) -> None:
+    def __init__(self, per_s: float, burst_s: float = 1.0, reserve: float = 0.3, weights: Mapping[str, float] | None = None) -> None:
         self.per_s = per_s
         self.burst_s = burst_s
         self.reserve = reserve
         self.left = self.most
         self.used = 0.0  # granted of late, fading by the second
         self.at = time.monotonic()
-        self.lines: dict[Turn, deque[tuple[float, asyncio.Future[None]]]] = {turn: deque() for turn in Turn}
+        self.lines: dict[Turn, FairLine[asyncio.Future[None]]] = {turn: FairLine(weights) for turn in Turn}
         self.passed = dict.fromkeys(Turn, 0.0)  # how much has gone past those of a line since its last turn
         self.pump: asyncio.Task[None] | None = None
 
@@ -78,12 +79,12 @@
         self._refill()
         self.left = min(self.left, 0.0)
 
-    async def wait(self, amount: float = 1.0, turn: Turn = Turn.WORK) -> None:
-        """In turn: a large transaction used to be overtaken for ever by small ones."""
+    async def wait(self, amount: float = 1.0, turn: Turn = Turn.WORK, whose: str = "") -> None:
+        """In turn: a large transaction used to be overtaken for ever by small ones. `whose`: the team that it is for."""
         if not any(self.lines.values()) and self.take(amount, turn) == 0:
             return
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.lines[turn].append((amount, future))
+        self.lines[turn].add(amount, future, whose)
         if self.pump is None or self.pump.done():
             self.pump = asyncio.create_task(self._grant())
         await future
@@ -93,11 +94,12 @@
         return next((turn for turn in waiting if self._overdue(turn)), next(iter(waiting), None))
 
     def _overdue(self, turn: Turn) -> bool:
-        return self.passed[turn] >= 3 * self.lines[turn][0][0]
+        return self.passed[turn] >= 3 * self.lines[turn].first().amount
 
     async def _grant(self) -> None:
         while (turn := self._next()) is not None:
-            amount, future = self.lines[turn][0]
+            first = self.lines[turn].first()
+            amount, future = first.amount, first.item
             if not future.done():  # else whoever asked has given up
                 pause = self.take(amount, Turn.WORK if self._overdue(turn) and turn is Turn.PATIENT else turn)
                 if pause > 0:
@@ -106,20 +108,29 @@
                 future.set_result(None)
                 for other, line in self.lines.items():
                     self.passed[other] = self.passed[other] + amount if line and other > turn else 0.0
-            self.lines[turn].remove((amount, future))
+            self.lines[turn].leave(first)
 
     def _waiting(self, turn: Turn) -> float:
-        return sum(amount for amount, future in self.lines[turn] if not future.done())
+        return sum(waiting.amount for waiting in self.lines[turn] if not waiting.item.done())
 
     @property
     def queued(self) -> float:
         return sum(map(self._waiting, self.lines))
 
-    def behind_s(self, turn: Turn = Turn.PATIENT) -> float:
-        """How long what is queued up to such a turn will take."""
-        queued = sum(self._waiting(line) for line in self.lines if line <= turn)
+    def behind_s(self, turn: Turn = Turn.PATIENT, whose: str | None = None) -> float:
+        """How long what is queued up to such a turn will take; of a team, what would go before one of it that came now."""
+        if whose is None:
+            queued = sum(self._waiting(line) for line in self.lines if line <= turn)
+        else:
+            queued = sum(waiting.amount for waiting in self.lines[turn].ahead_of(whose) if not waiting.item.done())
         return max(0.0, (queued - self.left) / self.per_s)
 
+    def each_s(self, amount: float, turn: Turn, whose: str) -> float:
+        """How long so much takes a team at its share of what is granted in that turn, as many as stand in line now."""
+        line = self.lines[turn]
+        weights = {name: line.weights.get(name, 1.0) for name in {*line.queues, whose}}
+        return amount / self.per_s * sum(weights.values()) / weights[whose]
+
     @property
     def demand(self) -> float:
         """What is asked for a second, as far as the last seconds tell, by its weight."""
--- a/ashdock/net/metrics.py
+++ b/ashdock/net/metrics.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
@@ -89,6 +89,32 @@
         yield from (jobs, tasks, machines, tokens)
         yield from self._admission()
         yield from self._recovery()
+        yield from self._fairness()
+
+    def _fairness(self) -> Iterable[Metric]:
+        """Of jobs that came since a part is owned here: how each class is served, how long its starts waited, and who was sent away."""
+        share = GaugeMetricFamily("ashdock_served_share", "of jobs that are due, served (docs/fairness.md)", labels=["team", "class"])
+        due = GaugeMetricFamily("ashdock_served_due", "jobs that are due", labels=["team", "class"])
+        rises = GaugeMetricFamily("ashdock_class_rises", "1 while a class goes first of its priority, one job a pass", labels=["team", "class"])
+        waits = HistogramMetricFamily("ashdock_start_wait_seconds", "from when a task could start until it ran", labels=["team", "class"])
+        for team, owner in self.house.owners.items():
+            if owner.part is None:
+                continue
+            classes = owner.part.classes
+            for (kind, name), row in classes.served.rows(owner.part.clock).items():
+                if kind == "class":
+                    share.add_metric([team, name], row.share)
+                    due.add_metric([team, name], row.due)
+                    rises.add_metric([team, name], float(name in classes.rising))
+            for name, waited_s in classes.served.waited_s.items():
+                waits.add_metric([team, name], classes.served.histogram(name), waited_s)
+        away = CounterMetricFamily("ashdock_submissions_turned_away", "told to come back, by team", labels=["team"])
+        hot = GaugeMetricFamily("ashdock_team_hot", "1 while a team submits more than its share here", labels=["team"])
+        desk = self.house.admission
+        for team in desk.rush.teams:
+            away.add_metric([team], desk.turned_away[team])
+            hot.add_metric([team], float(desk.rush.hot(team)))
+        yield from (share, due, rises, waits, away, hot)
 
     def _recovery(self) -> Iterable[Metric]:
         rise = GaugeMetricFamily("ashdock_start_seconds", "in each state since the start of the process", labels=["state"])
--- a/ashdock/net/state.py
+++ b/ashdock/net/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import msgspec
@@ -104,15 +105,18 @@
 
 
 class StateClient:
-    def __init__(self, host: str, port: int, shared: Shared, bounds: Bounds, most: int = 0) -> None:
+    def __init__(
+        self, host: str, port: int, shared: Shared, bounds: Bounds, most: int = 0, weights: Mapping[str, float] | None = None
+    ) -> None:  # fmt: skip
+        """`weights`: of the teams, in each line for what the service takes a second."""
         self.bounds = bounds
         self.client = Client(host, port, keep=12, most=max(most - 8, 4) if most else 0)  # less the watches
         self.watcher = Client(host, port, keep=8)
         self.size = shared.size
         # A tenth is left for what is in flight while the shares are told anew.
         self.all = Demand(bounds.rps * 0.9, bounds.write_rps * 0.9)
-        self.requests = Budget(self.all.requests / self.size)
-        self.writes = Budget(self.all.writes / self.size)
+        self.requests = Budget(self.all.requests / self.size, weights=weights)
+        self.writes = Budget(self.all.writes / self.size, weights=weights)
         self.timeout = shared.workers.lease_s / 5
         self.ok_at = time.monotonic()  # when it last answered us properly
         self.bad_since: float | None = None
@@ -209,12 +213,12 @@
             after = page.entries[-1].path
 
     async def txn(
-        self, when: dict[str, int], writes: dict[str, Any], hold: int | None = None, turn: Turn = Turn.WORK
+        self, when: dict[str, int], writes: dict[str, Any], hold: int | None = None, turn: Turn = Turn.WORK, whose: str = ""
     ) -> int:
         """Apply the writes (None deletes) if every stamp holds. The revision, or Conflict or Unavailable."""
         if writes:  # one that only compares must not wait behind others' writes
-            await self.writes.wait(len(writes), turn)
-        await self.requests.wait(1, turn)
+            await self.writes.wait(len(writes), turn, whose)
+        await self.requests.wait(1, turn, whose)
         body: dict[str, Any] = {"when": [{"path": path, "stamp": stamp} for path, stamp in when.items()]}
         if writes:
             body["writes"] = [self._write(path, value, hold) for path, value in writes.items()]
--- a/ashdock/owner.py
+++ b/ashdock/owner.py
@@ -283,11 +283,11 @@
     async def _commit(self, part: Part) -> None:
         state = self.house.state
         for _ in range(16):
-            txn = part.ledger.next_txn(short=state.writes.short)
+            txn = part.ledger.next_txn(state.writes.short, state.writes.per_s)
             if txn is None or self.phase is not OwnerPhase.ACTIVE:
                 return
             try:
-                revision = await state.txn(txn.when, txn.writes, turn=Turn.WORK if txn.urgent else Turn.PATIENT)
+                revision = await state.txn(txn.when, txn.writes, turn=Turn.WORK if txn.urgent else Turn.PATIENT, whose=part.name)
             except Conflict as why:
                 if not await self._reread(part, why.failed):
                     return
--- a/ashdock/settings.py
+++ b/ashdock/settings.py
@@ -123,7 +123,14 @@
     most_machines: Annotated[int, Meta(ge=0)] = 0  # 0: no bound of ours
 
 
+class Fairness(Struct, forbid_unknown_fields=True):
+    """How what runs short is divided among teams."""
+
+    weights: dict[str, Positive] = {}  # by team, against 1 for each that is not named
+
+
 class Operators(Struct, forbid_unknown_fields=True):
+    fairness: Fairness = field(default_factory=Fairness)
     retry: Retry = field(default_factory=Retry)
     renting: Renting = field(default_factory=Renting)
 
@@ -192,6 +199,9 @@
         raise SettingsError(f"{path}: settings.workers.cancel_s: expected more than lease_s ({workers.lease_s:g})")
     if operators_file.exists():
         settings.operators = load_operators(operators_file)
+        unknown = sorted(set(settings.operators.fairness.weights) - set(names))
+        if unknown:
+            raise SettingsError(f"{operators_file}: fairness.weights: expected names of teams, found {unknown[0]!r}")
     return settings
 
 
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -29,6 +29,7 @@
     cancelled_at: dict[str, float] = field(default_factory=dict)
     accepted_at: dict[str, float] = field(default_factory=dict)
     starts: int = 0
+    served: Any = None  # an ashdock.fairness.served.Served, where that is counted
     broken: list[tuple[str, str]] = field(default_factory=list)
 
     def _break(self, rule: str, what: str) -> None:
@@ -40,6 +41,8 @@
     def started(self, job: str, task: int, place: On, now: float) -> None:
         """A task holds its image and is on a machine from here."""
         self.starts += 1
+        if self.served is not None:
+            self.served.started(job, 1, now)
         run = self.jobs.get(job)
         if run is None:
             return
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -4,6 +4,11 @@
     python -m tests.scale grow [--times 1 2 4 8] [--plot docs/scale.svg] [--save figures.json] [--before figures.json]
     python -m tests.scale full        2,648 machines, three controllers of 1,200 sockets, no troubles
     python -m tests.scale alone       the same fleet, two of the controllers ended for good
+    python -m tests.scale hot --times 1     one team brings 80% of all arrivals, most of them for one zone; one class eight times as many for two minutes
+    python -m tests.scale hot-rough         that, with the hot team's owner ended, another one slow, and an outage of the state service
+    python -m tests.scale calm              the same arrivals of all the others without that
+
+What was served of each class and team is printed (ashdock/fairness/served.py); where a share is under a half the tool exits with 1.
 
 Controllers are charged for what they compute: each has half a core (--core), and what it does beyond that comes later.
 
@@ -18,8 +23,10 @@
 import contextlib
 import cProfile
 import json
+import math
 import pstats
 import random
+import sys
 import time
 import types
 from collections import Counter, defaultdict, deque
@@ -31,8 +38,9 @@
 from hdrh.histogram import HdrHistogram
 from pympler import asizeof
 
+from ashdock.fairness.served import HALF, Served, jain
 from ashdock.net.http import Client, NoAnswer
-from ashdock.settings import Team
+from ashdock.settings import Objective, Team
 from tests import simtime, whole
 from tests.fleet import Fleet
 from tests.simtime import HOST, Net, SimLoop
@@ -44,11 +52,15 @@
     ("slot", 0.4188, {"shape": "ensemble", "sizes": [1, 2, 4, 8], "weights": [3.0, 2.4, 1.92, 1.54], "accelerators": 4.0, "cpus": 28.0,
                       "same_place": True, "expect_s": 100.0, "snapshot_s": 45.0, "flush_s": 4.0, "images": 5, "size_gb": 4.0}),
     ("note", 0.2783, {"shape": "sweep", "sizes": [5, 10, 20, 40], "weights": [1.0, 2.0, 2.0, 1.0], "accelerators": 1.0, "cpus": 6.0,
-                      "urgency": "best_effort", "expect_s": 80.0, "images": 20, "size_gb": 6.0, "loaners": True}),
+                      "urgency": "best_effort", "expect_s": 80.0, "due_s": 250.0, "images": 20, "size_gb": 6.0, "loaners": True}),
     ("urgent", 0.2558, {"shape": "ensemble", "sizes": [1, 2, 4], "weights": [3.0, 2.4, 1.92], "accelerators": 4.0, "cpus": 28.0,
                         "urgency": "high", "expect_s": 120.0, "snapshot_s": 20.0, "flush_s": 3.0, "images": 18, "size_gb": 4.0}),
 ]  # fmt: skip
 REPORT_S, LEASE_S, CANCEL_S = 3.0, 19.0, 39.0
+AIMS = {"slot": [70.0, 180.0], "note": [120.0], "urgent": [15.0, 60.0]}  # by class: in what times its tasks are to start
+HOT, HOT_ZONE, HOT_TIMES = "ops", "a", 2.51  # more than it brings otherwise, of all arrivals: then it brings 80%
+BURST, BURST_TIMES, BURST_S = "note", 7.0, 120.0
+COURSE_S = 210.0  # from the filling on: longer than the longest aim
 
 
 class Meter:
@@ -61,13 +73,17 @@
         self.lines: defaultdict[str, deque[asyncio.Future[None]]] = defaultdict(deque)  # steps that wait for the one before
         self.waking: set[str] = set()
         self.running: tuple[str, float] | None = None
+        self.slow: dict[str, float] = {}  # how many times slower a host computes
         self.profile: cProfile.Profile | None = None  # of the controllers' own steps
 
+    def share_of(self, host: str) -> float:
+        return self.share / self.slow.get(host, 1.0)
+
     def ahead(self) -> float:
         """How far the clock of the host that computes has moved on within the step under way."""
         if self.running is None:
             return 0.0
-        return (time.thread_time() - self.running[1]) / self.share
+        return (time.thread_time() - self.running[1]) / self.share_of(self.running[0])
 
     def _wake_next(self, host: str, loop: asyncio.AbstractEventLoop) -> None:
         if self.lines[host] and host not in self.waking:
@@ -115,7 +131,7 @@
                 took = time.thread_time() - began
                 self.running = None
                 self.spent[host] += took
-                self.busy[host] = max(self.busy.get(host, 0.0), loop.time()) + took / self.share
+                self.busy[host] = max(self.busy.get(host, 0.0), loop.time()) + took / self.share_of(host)
                 self._wake_next(host, loop)
             try:
                 act, with_ = job.send, (yield step)
@@ -149,19 +165,27 @@
         try:
             return loop.run_until_complete(main(net))
         finally:
-            for task in asyncio.all_tasks(loop):
-                task.cancel()
-            loop.run_until_complete(asyncio.sleep(0))
+            meter.busy.clear()
+            loop.set_exception_handler(lambda *_: None)  # of tasks that end by being cancelled
+            for _ in range(50):  # some begin others when they end
+                left = asyncio.all_tasks(loop)
+                for task in left:
+                    task.cancel()
+                if not left:
+                    break
+                loop.run_until_complete(asyncio.sleep(0))
             loop.close()
 
 
 class Users:
     """Each submits a job as soon as it has it, over a load balancer that knows who is ready, and asks every 5 s until it is done."""
 
-    def __init__(self, fleet: Fleet, times: float) -> None:
+    def __init__(self, fleet: Fleet, times: float, seed: int = 7) -> None:
         self.fleet = fleet
         self.times = times
-        self.rng = random.Random(7)
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.served = fleet.rules.served = Served()
         self.number = 0
         self.took = HdrHistogram(1, 120_000, 3)  # of a submission until it is accepted, ms
         self.asked = HdrHistogram(1, 10_000, 3)  # of a question, ms
@@ -225,6 +249,9 @@
         user: dict[str, Any] = {}
         self.fleet.rules.submitted(run)
         began, counts = self.now(), self.counts
+        if counts:
+            due_at = began + run["due_s"] if run["due_s"] else math.inf
+            self.served.made(run["id"], run["workload"], run["owner"], run["shares"], began, max(AIMS[run["workload"]]), due_at)
         body = json.dumps(run).encode()
         status = None
         while status not in (200, 201):
@@ -233,8 +260,10 @@
                 self.fleet.rules.answered(run["id"], status, "queued", submission=True, now=self.now())
             if status not in (200, 201):
                 if self.now() - began > 60:
-                    break
+                    self.errors["given up"] += 1
+                    return self.leave(user)
                 await asyncio.sleep(1.0)
+        self.served.accepted(run["id"])
         if counts:
             self.took.record_value(max(1, int((self.now() - began) * 1000)))
         while any((run["id"], task) not in self.fleet.rules.done for task in range(run["shares"])):
@@ -243,29 +272,40 @@
             status = await self.ask(user, "GET", f"/v2/runs/{run['id']}", b"", 2.0)
             if status == 200:
                 self.asked.record_value(max(1, int((self.now() - at) * 1000)))
+        self.served.done(run["id"], self.now())
         self.leave(user)
 
-    def job(self, kind: str, form: dict[str, Any]) -> dict[str, Any]:
+    def job(self, kind: str, form: dict[str, Any], rng: random.Random, hot: bool = False) -> dict[str, Any]:
         self.number += 1
         form = dict(form)
         sizes, weights, images = form.pop("sizes"), form.pop("weights"), form.pop("images")
-        run_s = form["expect_s"] * (0.5 + self.rng.random())
+        run_s = form["expect_s"] * (0.5 + rng.random())
+        owner = HOT if hot else rng.choices([t[0] for t in TEAMS], [1.1, 1.6, 1.0])[0]
         return whole.job(
-            self.number, workload=kind, owner=self.rng.choices([t[0] for t in TEAMS], [1.1, 1.6, 1.0])[0], bundle=f"{kind}-{self.rng.randrange(images)}",
-            shares=self.rng.choices(sizes, weights)[0], **{**form, "expect_s": round(run_s, 1), "ram_gb": 40.0},
+            self.number, workload=kind, owner=owner, bundle=f"{kind}-{rng.randrange(images)}", shares=rng.choices(sizes, weights)[0],
+            **{**form, "expect_s": round(run_s, 1), "ram_gb": 40.0}, yard=HOT_ZONE if hot and rng.random() < 0.7 else None,
         )  # fmt: skip
 
-    async def arrive(self, kind: str, rate: float, form: dict[str, Any]) -> None:
-        while True:
-            await asyncio.sleep(self.rng.expovariate(rate * self.times))
-            self.spawn(self.one(self.job(kind, form)))
+    async def arrive(self, kind: str, rate: float, form: dict[str, Any], hot: bool = False, stream: str = "", for_s: float = 1e9) -> None:
+        """Of a stream of its own: what else arrives changes nothing of it."""
+        rng = random.Random(f"{self.seed} {kind} {stream}")
+        until = self.now() + for_s
+        while self.now() < until:
+            await asyncio.sleep(rng.expovariate(rate * self.times))
+            self.spawn(self.one(self.job(kind, form, rng, hot)))
+
+    def heat(self) -> None:
+        for kind, rate, form in KINDS:
+            self.spawn(self.arrive(kind, rate * HOT_TIMES, form, True, "hot"))
+            if kind == BURST:
+                self.spawn(self.arrive(kind, rate * BURST_TIMES, form, False, "burst", BURST_S))
 
     async def run(self) -> None:
         self.spawn(self.probe())
         await asyncio.sleep(3)
         for kind, rate, form in KINDS:
             for _ in range(int(rate * self.times * 60)):
-                self.spawn(self.one(self.job(kind, form)))
+                self.spawn(self.one(self.job(kind, form, self.rng)))
             self.spawn(self.arrive(kind, rate, form))
         await asyncio.sleep(1e9)
 
@@ -276,6 +316,8 @@
     workers = shared.workers
     workers.report_s, workers.lease_s, workers.cancel_s, workers.gang_peer_s, workers.gang_wait_s = REPORT_S, LEASE_S, CANCEL_S, 4.0, 50.0
     shared.state.rps, shared.state.write_rps, shared.state.value_kb = 150.0, 60.0, 32.0
+    shared.objectives = [Objective("wait", 0.9, kind, within) for kind, aims in AIMS.items() for within in aims]
+    shared.objectives += [Objective("deadline", 0.98, "note", times=1.0), Objective("guarantee", 0.88, within_s=10.0)]
     shared.cloud.rps, shared.cloud.list_lag_s = 2.0, 3.0
     shared.machine_limits.max_connections, shared.machine_limits.core_share = sockets, core
     return shared
@@ -293,7 +335,24 @@
     return int(asizeof.asizeof(*tables))
 
 
-def measure(times: float, sockets: int, seconds: float, core: float, alone: bool = False, seed: int = 11, profile: bool = False) -> dict[str, Any]:
+async def trouble(net: Net, fleet: Fleet, meter: Meter) -> None:
+    """The hot team's owner ends and is back 8 s later, the next one computes three times slower, and the state service is down meanwhile."""
+    await asyncio.sleep(30)
+    owner = next((n for n, c in fleet.controllers.items() if HOT in c.owners), 0)
+    net.kill(f"10.0.0.{owner}")
+    meter.slow[f"10.0.0.{(owner + 1) % 3}"] = 3.0
+    await asyncio.sleep(8)
+    fleet.boot(owner)
+    await asyncio.sleep(22)
+    fleet.state.down = True
+    await asyncio.sleep(15)
+    fleet.state.down = False
+    meter.slow.clear()
+
+
+def measure(
+    times: float, sockets: int, seconds: float, core: float, course: str = "", seed: int = 11, profile: bool = False
+) -> dict[str, Any]:  # fmt: skip
     """One fleet, each controller with that share of a core. `alone`: two controllers end for good once the fleet is full."""
     meter = Meter(core)
     out: dict[str, Any] = {"times": times, "machines": int(MACHINES * times)}
@@ -305,30 +364,45 @@
         for n in range(3):
             net.limits[f"10.0.0.{n}"] = sockets
         await fleet.start()
-        users = Users(fleet, times)
+        users = Users(fleet, times, seed)
         simtime.spawn(net, "users", users.run())
         await asyncio.sleep(75)
-        if alone:
+        if course == "alone":
             for n in (1, 2):
                 net.kill(f"10.0.0.{n}")
                 fleet.controllers.pop(n)
         users.counts = True
+        if course.startswith("hot"):
+            users.heat()
+        if course == "hot-rough":
+            users.spawn(trouble(net, fleet, meter))
         meter.profile = cProfile.Profile() if profile else None
         before, at = dict(meter.spent), users.now()
         requests, counted = fleet.state.requests, fleet.state.counted
         starts = fleet.rules.starts
+        kinds: Counter[str] = Counter()  # of what is written
+
+        def count(writes: list[dict[str, Any]]) -> None:
+            for write in writes:
+                path = (write.get("set") or write["delete"]).split("/")
+                kinds[("" if "set" in write else "delete ") + path[0] + (" head" if path[-1] == "job" else "")] += 1
+
+        fleet.state.hook = count
         for step in range(int(seconds / 5)):
             await asyncio.sleep(5)
-            print(f"  {times:g} times: {users.now():.0f} s, {fleet.rules.starts} starts, {fleet.killed} killed, "
+            print(f"  {times:g} times: {users.now():.0f} s, {fleet.rules.starts} starts, {fleet.killed} killed, GPUs {whole_of(fleet)}, "
                   f"{time.perf_counter() - wall:.0f} s of real time, step {step}", flush=True)  # fmt: skip
         past = users.now() - at
         cores = [(meter.spent[host] - before.get(host, 0.0)) / past for host in sorted(meter.spent) if host.startswith("10.0.0.")]
         alive = list(fleet.controllers.values())
+        rows = users.served.rows(users.now())
         out.update(
             jobs=len([j for j in fleet.rules.jobs if any((j, t) not in fleet.rules.done for t in range(fleet.rules.jobs[j]["shares"]))]),
             core_mean=sum(cores) / len(cores), core_most=max(cores), mb=max(held(c) for c in alive) / 2**20,
             requests=(fleet.state.requests - requests) / past, writes=(fleet.state.counted - counted) / past,
-            starts=(fleet.rules.starts - starts) / past, killed=fleet.killed, broken=fleet.rules.broken[:5],
+            served={" ".join(name): [*row, round(row.share, 3)] for name, row in sorted(rows.items())}, worst=users.served.worst(users.now()),
+            jain=round(jain(row.share for (kind, _), row in rows.items() if kind == "team"), 4), starts=(fleet.rules.starts - starts) / past,
+            written={kind: round(number / past, 2) for kind, number in kinds.most_common()}, killed=fleet.killed, broken=fleet.rules.broken[:5],
             submissions=users.took.get_total_count(), p50_ms=users.took.get_value_at_percentile(50),
             p99_ms=users.took.get_value_at_percentile(99), within_1s=share_within(users.took, 1000),
             asked_p99_ms=users.asked.get_value_at_percentile(99), errors=dict(users.errors),
@@ -345,6 +419,12 @@
     return out
 
 
+def whole_of(fleet: Fleet) -> str:
+    """What each team uses, of how many machines it holds."""
+    held = {team: len(owner.part.machines) for c in fleet.controllers.values() for team, owner in c.owners.items() if owner.part}
+    return " ".join(f"{team} {fleet.rules.used.get(team, 0.0):.0f} of {held.get(team, 0)}" for team, _, _ in TEAMS) + f" of {len(fleet.world.workers)}"
+
+
 def share_within(histogram: HdrHistogram, ms: int) -> float:
     total = histogram.get_total_count()
     return sum(i.count_added_in_this_iter_step for i in histogram.get_recorded_iterator() if i.value_iterated_to <= ms) / total if total else 1.0
@@ -386,10 +466,11 @@
 
 def main() -> None:
     top = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    top.add_argument("what", choices=["grow", "full", "alone"])
+    top.add_argument("what", choices=["grow", "full", "alone", "calm", "hot", "hot-rough"])
     top.add_argument("--times", type=float, nargs="+", default=[1, 2, 4, 8])
     top.add_argument("--sockets", type=int, default=1200)
-    top.add_argument("--seconds", type=float, default=60.0, help="simulated, after 75 s to fill the fleet")
+    top.add_argument("--seconds", type=float, help="simulated, after 75 s to fill the fleet")
+    top.add_argument("--seed", type=int, default=11)
     top.add_argument("--core", type=float, default=0.504, help="each controller's share of a core")
     top.add_argument("--plot")
     top.add_argument("--profile", action="store_true", help="print where the controllers' processor time goes")
@@ -397,19 +478,25 @@
     top.add_argument("--before")
     options = top.parse_args()
     if options.what == "grow":
+        seconds = options.seconds or 60.0
         # Sockets enough: what is asked is what computing and remembering cost.
         rows = []
         for times in options.times:
-            rows.append(measure(times, 100_000, options.seconds, options.core, profile=options.profile))
+            rows.append(measure(times, 100_000, seconds, options.core, seed=options.seed, profile=options.profile))
             if options.save:
                 Path(options.save).write_text(json.dumps(rows))
         print(table(rows))
         if options.plot:
             plot(rows, json.loads(Path(options.before).read_text()) if options.before else [], options.plot)
         return
-    row = measure(options.times[0] if len(options.times) == 1 else 4, options.sockets, options.seconds, options.core, options.what == "alone", profile=options.profile)
+    seconds = options.seconds or (60.0 if options.what in ("full", "alone") else COURSE_S)
+    times = options.times[0] if len(options.times) == 1 else 4
+    row = measure(times, options.sockets, seconds, options.core, options.what, options.seed, options.profile)
     print(json.dumps(row, indent=1))
-
+    if options.save:
+        Path(options.save).write_text(json.dumps(row))
+    if row["worst"][0] < HALF or row["broken"]:
+        sys.exit(1)
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,149 @@
+"""What is counted as served, lines in which each team has its turn, and who is told to come back when."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from ashdock.fairness.line import FairLine
+from ashdock.fairness.rush import Rush
+from ashdock.fairness.served import Row, Served, jain
+from ashdock.net.budget import Budget, Turn
+from ashdock.settings import SettingsError, load
+from tests import simtime
+from tests.test_wire import GOOD
+
+SERVED = [  # of one job of four tasks, submitted at 0: (aim, deadline), when each task started, when it was done, now -> the row's due, share
+    ((10.0, math.inf), [], None, 9.0, 0, 1.0), ((10.0, math.inf), [], None, 11.0, 1, 0.0), ((10.0, math.inf), [3.0, 12.0], None, 13.0, 1, 0.25),
+    ((10.0, math.inf), [1.0, 2.0, 3.0, 4.0], None, 5.0, 1, 1.0), ((10.0, 50.0), [12.0] * 4, 40.0, 60.0, 1, 1.0),
+    ((10.0, 50.0), [12.0] * 4, 55.0, 60.0, 1, 0.0), ((math.inf, 50.0), [2.0] * 4, None, 49.0, 0, 1.0), ((math.inf, 50.0), [], None, 51.0, 1, 0.0),
+    ((math.inf, math.inf), [2.0] * 4, 9.0, 9.0, 1, 1.0), ((math.inf, math.inf), [], None, 999.0, 0, 1.0),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("aims", "starts", "done", "now", "due", "share"), SERVED)
+def test_what_counts_as_served(aims: tuple[float, float], starts: list[float], done: float | None, now: float, due: int, share: float) -> None:
+    served = Served()
+    served.made("j1", "leaf", "red", 4, 0.0, *aims)
+    served.accepted("j1")
+    for at in starts:
+        served.started("j1", 1, at)
+    if done is not None:
+        served.done("j1", done)
+    rows = served.rows(now)
+    assert rows["class", "leaf"] == rows["team", "red"] and (rows["team", "red"].due, rows["team", "red"].share) == (due, share)
+    assert served.histogram("leaf")[-1:] == ([("+Inf", float(len(starts)))] if starts else [])
+
+
+def test_the_worst_is_named_and_what_is_withdrawn_is_nobodys_fault() -> None:
+    served = Served()
+    for n, team in enumerate(["red", "blue", "blue"]):
+        served.made(f"j{n}", "leaf", team, 1, 0.0, 5.0)
+    served.withdrawn("j1")
+    served.started("j0", 1, 1.0)
+    assert served.worst(9.0) == (0.0, "team blue") and served.rows(9.0)["class", "leaf"] == Row(3, 0, 1, 0, 2, 1.0)
+    assert jain([1.0, 1.0]) == 1.0 and jain([1.0, 0.0, 0.0, 0.0]) == 0.25 and jain([]) == 1.0
+
+
+@given(some.lists(some.tuples(some.sampled_from("abc"), some.integers(1, 9)), min_size=1, max_size=60), some.sampled_from([1.0, 3.0]))
+@settings(derandomize=True, max_examples=150, deadline=None)
+def test_while_a_team_waits_no_other_gets_more_than_its_share(asked: list[tuple[str, int]], weight: float) -> None:
+    """The bound of start-time fair queueing: over any stretch in which both wait, what two teams had, each by its weight, differs by no more
+    than one request of each."""
+    line: FairLine[int] = FairLine({"a": weight})
+    for n, (team, amount) in enumerate(asked):
+        line.add(amount, n, team)
+    had: Counter[str] = Counter()
+    order: dict[str, list[int]] = {}
+    while line:
+        first = line.first()
+        line.leave(first)
+        had[first.whose] += first.amount
+        order.setdefault(first.whose, []).append(first.item)
+        for one in line.queues:
+            for other in line.queues:
+                mine, theirs = (had[team] / line.weights.get(team, 1.0) for team in (one, other))
+                assert abs(mine - theirs) <= 9 / line.weights.get(one, 1.0) + 9 / line.weights.get(other, 1.0)
+    assert all(items == sorted(items) for items in order.values()) and len(line) == 0 and not line.served_to
+
+
+RUSHES = [  # amounts asked at once by team, of 10 a second with nothing saved -> the longest wait of the quiet team, and of the hot one
+    ({"hot": 40, "quiet": 1}, 0.35, 4.2), ({"hot": 40, "warm": 40, "quiet": 1}, 0.5, 8.3), ({"quiet": 5}, 0.6, 0.0),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("asked", "quiet_s", "hot_s"), RUSHES)
+def test_a_quiet_team_is_served_in_the_middle_of_anothers_rush(
+    asked: dict[str, int], quiet_s: float, hot_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:  # fmt: skip
+    async def main(net: simtime.Net) -> dict[str, float]:
+        loop = asyncio.get_running_loop()
+        budget = Budget(10.0)
+        budget.take(10.0)
+        took: dict[str, float] = {}
+
+        async def one(team: str) -> None:
+            await budget.wait(1, Turn.USER, team)
+            took[team] = loop.time()
+
+        waits = [one(team) for team, number in asked.items() for _ in range(number)]
+        tasks = [asyncio.create_task(wait) for wait in waits]
+        await asyncio.sleep(0)
+        # One more of the quiet team would go at once, one more of the hot team after all that it has asked for.
+        assert budget.behind_s(Turn.USER, "quiet") <= quiet_s + 0.1 and budget.behind_s(Turn.USER, "new") <= 0.4
+        if "hot" in asked:
+            assert budget.behind_s(Turn.USER, "hot") >= 3.9 and budget.each_s(2, Turn.USER, "hot") == pytest.approx(0.2 * len(asked))
+        await asyncio.gather(*tasks)
+        return took
+
+    took = simtime.run(main, 1, monkeypatch)
+    assert took["quiet"] <= quiet_s + 0.1 and took.get("hot", 0.0) <= hot_s + 0.2
+
+
+def test_each_who_is_told_to_come_back_has_a_moment_of_its_own() -> None:
+    rush = Rush(["hot", "quiet"], fades_s=6.0, most_s=10.0)
+    times = [rush.returns_in("hot", 0.8, 0.5, 100.0) for _ in range(30)]
+    assert times[:8] == [2, 2, 3, 3, 4, 4, 5, 5] and max(times) == 10 and times == sorted(times)
+    assert rush.returns_in("quiet", 0.2, 0.5, 100.0) == 1
+    assert rush.returns_in("hot", 0.8, 0.5, 140.0) == 2, "what is over is forgotten"
+
+
+HEAT = [  # submissions of late by team -> those that are hot
+    ({"red": 10, "blue": 10, "green": 10}, []), ({"red": 80, "blue": 10, "green": 10}, ["red"]), ({"red": 45, "blue": 45, "green": 10}, ["blue", "red"]),
+    ({"red": 1}, ["red"]), ({"x": 50, "red": 1}, ["red"]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("came", "hot"), HEAT)
+def test_who_is_hot(came: dict[str, int], hot: list[str]) -> None:
+    rush = Rush(["red", "blue", "green"], fades_s=6.0, most_s=10.0)
+    for team, number in came.items():
+        for _ in range(number):
+            rush.comes(team, 1.0)
+    assert sorted(team for team in came if rush.hot(team)) == hot
+    assert set(rush.came) <= rush.teams, "any name may be sent, and none of them fills a table"
+    rush.comes("blue", 100.0)
+    assert rush.hot("blue") and not rush.hot("red")
+
+
+WEIGHTS = [("fairness {\n weights = { red = 2 }\n}\n", None), ("fairness {\n weights = { rod = 2 }\n}\n", "fairness.weights.*'rod'"),
+           ("fairness {\n weights = { red = 0 }\n}\n", "weights"), ("fairness {\n wait = 1\n}\n", "wait")]  # fmt: skip
+
+
+@pytest.mark.parametrize(("text", "named"), WEIGHTS)
+def test_operators_weigh_teams(text: str, named: str | None, tmp_path: Path) -> None:
+    (tmp_path / "s.toml").write_text(GOOD)
+    (tmp_path / "o.hcl").write_text(text)
+    if named is None:
+        weights: Any = load(str(tmp_path / "s.toml"), tmp_path / "o.hcl").operators.fairness.weights
+        assert weights == {"red": 2.0}
+    else:
+        with pytest.raises(SettingsError, match=named):
+            load(str(tmp_path / "s.toml"), tmp_path / "o.hcl")
--- /dev/null
+++ b/tests/test_hot.py
@@ -0,0 +1,171 @@
+"""One team brings many times what the state service takes; what the others notice of it, alone and with failures on top."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from ashdock.fairness.served import jain
+from ashdock.net.http import Client, NoAnswer
+from ashdock.settings import NextLimits
+from tests import simtime
+from tests.whole import Service, job
+
+RUSH_S = 20.0
+WRITES = 30.0  # a second that the state service takes: fifteen submissions, were there nothing else to write
+
+
+class Rush:
+    """Users of two teams, over the controllers that live. Each tries until it is taken, as long as the rush lasts."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.took: dict[str, list[float]] = {"red": [], "blue": []}  # until accepted, of those who were
+        self.returns: list[int] = []
+        self.doors: list[int] = [0, 1, 2]
+        self.number = 0
+        self.jobs: dict[str, list[str]] = {"red": [], "blue": []}
+
+    async def one(self, team: str) -> None:
+        service, began = self.service, self.service.now()
+        self.number += 1
+        run = job(self.number, owner=team, shares=1, expect_s=2.0)
+        service.rules.submitted(run)
+        for n in range(30):
+            doors = [door for door in self.doors if door in service.controllers]
+            try:
+                where = f"10.0.0.{doors[(self.number + n) % len(doors)]}"
+                status, headers = await self.ask(where, "POST", "/v2/runs", json.dumps(run).encode())
+            except NoAnswer:
+                status, headers = 0, {}
+            service.rules.answered(run["id"], status, "queued", submission=True, now=service.now())
+            if status in (200, 201):
+                self.took[team].append(service.now() - began)
+                self.jobs[team].append(run["id"])
+                return
+            wait = int(headers.get("retry-after", 1))
+            if status == 429:
+                self.returns.append(wait)
+            await asyncio.sleep(wait)
+            if service.now() > self.until + RUSH_S:
+                return
+
+    async def ask(self, host: str, method: str, target: str, body: bytes = b"") -> tuple[int, dict[str, str]]:
+        """The status, and the headers that a user looks at."""
+        try:
+            async with asyncio.timeout(5.0):
+                reader, writer = await self.service.net.open_connection(host, 8080)
+                writer.write(f"{method} {target} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode() + body)
+                head = (await reader.read()).split(b"\r\n\r\n")[0].decode().split("\r\n")
+                writer.close()
+        except (OSError, TimeoutError) as why:
+            raise NoAnswer(str(why), True) from None
+        if len(head[0].split()) < 2:
+            raise NoAnswer("closed", True)
+        return int(head[0].split()[1]), dict(line.lower().split(": ") for line in head[1:])
+
+    async def arrive(self, team: str, a_second: float) -> None:
+        users = []
+        while self.service.now() < self.until:
+            users.append(asyncio.create_task(self.one(team)))
+            await asyncio.sleep(1 / a_second)
+        await asyncio.gather(*users)
+
+    async def run(self, rates: dict[str, float]) -> None:
+        self.until = self.service.now() + RUSH_S
+        await asyncio.gather(*(self.arrive(team, rate) for team, rate in rates.items()))
+
+
+async def owner_of(service: Service, team: str) -> int:
+    return next(n for n, controller in service.controllers.items() if team in controller.owners)
+
+
+async def quiet(service: Service, rush: Rush) -> None:
+    pass
+
+
+async def owner_ends(service: Service, rush: Rush) -> None:
+    """And the one after it is slow to be heard."""
+    await asyncio.sleep(5)
+    owner = await owner_of(service, "red")
+    service.crash(owner, back_after=3.0)
+    service.state.slow = 0.05
+    await asyncio.sleep(6)
+    service.state.slow = 0.0
+
+
+async def one_door(service: Service, rush: Rush) -> None:
+    rush.doors = [0]
+
+
+async def nobody_heard(service: Service, rush: Rush) -> None:
+    """A controller that hears no other goes by what it knows itself, and its shares are out of date."""
+    await asyncio.sleep(3)
+    service.net.cut("10.0.0.0", "10.0.0.1", "10.0.0.2")
+    await asyncio.sleep(8)
+    service.net.heal()
+
+
+async def floods(service: Service, rush: Rush) -> None:
+    """Questions and withdrawals of the hot team's, besides."""
+
+    async def ask() -> None:
+        for n in range(200):
+            target = f"/v2/runs/req-{n % 60 + 1:06d}"
+            withdraws = n % 10 == 0 and target.rsplit("/", 1)[1] in rush.jobs["red"]
+            if withdraws:
+                service.rules.asked_to_cancel.add(target.rsplit("/", 1)[1])
+            method, target = ("POST", target + "/withdraw") if withdraws else ("GET", target)
+            try:
+                await Client(f"10.0.0.{n % 3}", 8080, keep=0).request(method, target, b"", 2.0)
+            except NoAnswer:
+                pass
+            await asyncio.sleep(0.05)
+
+    await asyncio.gather(*(ask() for _ in range(3)))
+
+
+COURSES: list[tuple[Any, dict[str, float], float, float]] = [  # trouble, submissions a second -> of the quiet team's, taken in a second; the longest wait
+    (quiet, {"red": 30.0, "blue": 1.0}, 1.0, 1.0), (one_door, {"red": 20.0, "blue": 1.0}, 1.0, 1.0), (floods, {"red": 20.0, "blue": 1.0}, 0.95, 2.0),
+    (owner_ends, {"red": 30.0, "blue": 1.0}, 0.85, 5.0), (nobody_heard, {"red": 30.0, "blue": 1.0}, 0.85, 5.0),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("trouble", "rates", "within", "longest"), COURSES)
+def test_the_other_team_is_taken_at_once(
+    trouble: Any, rates: dict[str, float], within: float, longest: float, monkeypatch: pytest.MonkeyPatch
+) -> None:  # fmt: skip
+    async def main(net: simtime.Net) -> None:
+        service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
+        await service.start()
+        await asyncio.sleep(8)
+        rush = Rush(service)
+        await asyncio.gather(rush.run(rates), trouble(service, rush))
+        net.heal()
+        took = rush.took["blue"]
+        assert len(took) >= RUSH_S * rates["blue"] * 0.95
+        assert sum(seconds <= 1.0 for seconds in took) >= within * len(took), sorted(took)[-5:]
+        assert max(took) <= longest
+        assert len(rush.took["red"]) > 60 and rush.returns and max(rush.returns) <= 10
+        assert not await service.until_final(rush.jobs["blue"], 60)
+        assert not service.rules.broken
+
+    simtime.run(main, 51, monkeypatch)
+
+
+def test_two_hot_teams_are_taken_alike(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main(net: simtime.Net) -> None:
+        service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
+        await service.start()
+        await asyncio.sleep(8)
+        rush = Rush(service)
+        users = asyncio.create_task(rush.run({"red": 40.0, "blue": 15.0}))
+        await asyncio.sleep(RUSH_S)
+        assert jain(len(took) for took in rush.took.values()) > 0.95, {team: len(took) for team, took in rush.took.items()}
+        users.cancel()
+        assert not service.rules.broken
+
+    simtime.run(main, 52, monkeypatch)
