A hot team's work beyond its guarantee stops nothing within another's; machines go with each transaction

The hot team's urgent work called back machines of others' lesser work within their guarantees, they called theirs back, 118 machines at once were under way, and those of the hot part stood empty behind its own starts in every transaction (docs/incidents/machines-under-way.md). Change: a want beyond its team's guarantee recalls only from teams beyond theirs (PROTOCOL permits more, and asks for none of it); a third of a transaction is kept for machines' records where any have to change hands. docs/fairness.md.

--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -316,11 +316,15 @@
     def _most_loss(self, team: str, want: Want, kind: Kind, spare: dict[str, int]) -> float:
         """Up to what loss a machine of that class may be recalled; -1: not at all. A guarantee is regained from teams beyond theirs,
         as far as they are beyond it, and work of higher priority takes the place of lower where less is lost by it than a boot's
-        wait would cost."""
+        wait would cost. But nobody's work beyond his own guarantee takes the place of what another runs within his: a hot team's
+        urgent work stopped all of the others' lesser work, however much of it they had been guaranteed."""
         if kind.part == team:
             return -1.0
-        if want.guaranteed and spare[kind.part] > 0:
+        beyond = spare[kind.part] > 0
+        if want.guaranteed and beyond:
             return math.inf
+        if not (want.guaranteed or beyond):
+            return -1.0
         boot_s = self.catalog[kind.type].boot_s
         steps = want.priority - kind.priority
         return boot_s * steps if steps > 0 and want.slack_s < boot_s else -1.0
--- a/ashdock/core/ledger.py
+++ b/ashdock/core/ledger.py
@@ -25,6 +25,7 @@
 
 log = logging.getLogger("ashdock.part")
 
+MACHINES = 3  # one of so many changes in a transaction is for machines that come and go, where there are any
 
 class Txn:
     """A transaction being put together, and what to note once it is durable."""
@@ -87,6 +88,11 @@
         # one: of a controller with half as much, one transaction took two seconds' worth, and users who came then were sent away.
         txn = Txn(max(4, min(part.bounds.ops, int(min(part.bounds.write_rps / part.shared.size, a_second)))))
         part.parks.fit(part.bounds.value_bytes)
+        whole = txn.ops
+        if self.changing:
+            # A hot team's own starts filled each transaction, and the machines that it was to pass on stood empty, thirty at a time: none ran
+            # anything for anybody.
+            txn.ops -= max(1, min(whole // MACHINES, len(self.changing)))
         later: list[Job] = []
         for job in list(self.touched.values()):
             if job.id not in part.jobs or not self._unwritten(job):
@@ -104,6 +110,7 @@
                 txn.put(part.parks.path(n), value, stamp)
                 txn.bytes += size
                 txn.marks.append(lambda revision, n=n, value=value: self._parks_written(n, value, revision))  # type: ignore[misc]
+        txn.ops = whole
         for name in list(self.changing):
             machine = part.machines.get(name)
             if machine is None or (machine.to is None and not machine.bump and not machine.doom_gen):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -285,6 +285,11 @@
     ([lent("m1", "blue")], [want()], [], [Busy("m1", 0, 5.0)], 0, [Recalled]),
     ([lent("m1", "blue")], [want()], [], [Busy("m1", 0, 7.0)], 0, [Rent]),
     ([lent("m1", "blue")], [want(slack_s=60.0)], [], [Busy("m1", 0, 5.0)], 0, [Rent]),
+    # A hot team's urgent work, beyond its guarantee, stops nothing that another runs within its own.
+    ([lent("m1", "blue")], [want(guaranteed=False, priority=2)], [], [Busy("m1", 0, 1.0)], 0, [Rent]),
+    ([lent("m1", "blue")], [want(guaranteed=False, priority=2)], [], [Busy("m1", 0, 1.0)], 1, [Recalled]),
+    # A guarantee is regained only as far as the other is beyond its own.
+    ([lent(f"m{n}", "blue") for n in range(9)], [want(tasks=12)], [], [Busy(f"m{n}", 3, 50.0) for n in range(9)], 2, [Recalled, Recalled, Rent]),
     # What was promised nothing takes cheap machines that stand empty, and leaves the dear ones.
     ([lent("m1", "", spot=True)], [want(idle=True, guaranteed=False)], [], [], 0, [Move]),
     ([lent("m1", "")], [want(idle=True, guaranteed=False)], [], [], 0, [Rent]),
@@ -706,3 +711,22 @@
     fresh.live, fresh.version = part.machines["vm-1"].live, part.machines["vm-1"].version
     part.telling.picture(2.3)
     assert asked == ["vm-0"]
+
+
+def test_machines_go_with_each_transaction() -> None:
+    """A hot part's own starts filled every transaction, and the machines that it was to pass on stood empty behind them."""
+    part = part_with([spec(n, shares=1) for n in range(1, 31)], "abc" * 6)
+    for name in ("vm-9", "vm-10", "vm-11", "vm-12"):
+        part.reports.on_report(report(name, 1), 0.5, True)
+        part.telling.yield_machine(name, "blue", 0.5)
+    for name in sorted(set(part.machines) - {"vm-9", "vm-10", "vm-11", "vm-12"}):
+        part.reports.on_report(report(name, 1), 0.5, True)
+    part.passes.schedule(1.0)
+    writes = []
+    while (txn := part.ledger.next_txn(a_second=9.0)) is not None:
+        writes.append(txn.writes)
+        for mark in txn.marks:
+            mark(20 + len(writes))
+    moved = [sum(path.startswith("machine/") for path in each) for each in writes]
+    assert moved[:2] == [3, 1] and sum(moved) == 4 and max(map(len, writes)) <= 9
+    assert all(placement.phase is Phase.COMMITTED for job in part.jobs.values() for placement in job.live.values())
