--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -16,6 +16,7 @@
 from ashdock.core.job import spec_of_record
 from ashdock.core.part import Part
 from ashdock.core.telling import Owed, Picture, Recalled
+from ashdock.fairness.burden import Burden, Other, Pace
 from ashdock.front import Front, refused, use_of
 from ashdock.leader import Leader
 from ashdock.net.budget import Demand, Turn
@@ -65,6 +66,8 @@
         self.members = Replica(self.state, "member/")
         self.leaders = Replica(self.state, "leader")
         self.jobs = Replica(self.state, "job/", keep=False)
+        self.pace = Pace(self.mesh.beat_s)
+        self.burden = Burden(self.mesh.beat_s, 2 * self.workers.lease_s)
         self.catalog: dict[str, MachineType] = {}
         self.owners: dict[str, Owner] = {}
         self.leader: Leader | None = None
@@ -392,6 +395,8 @@
 
     async def _gossip(self) -> float:
         now = time.monotonic()
+        self.pace.beat(now)
+        self._hand_on(now)
         self._share()
         beat = Beat(
             self.incarnation, self.state.silent_for, now - self.last_report, self.ready(), self.leader is not None, *self.state.demand
@@ -412,6 +417,21 @@
         self.worker_client.sweep()
         return self.mesh.beat_s
 
+    def _hand_on(self, now: float) -> None:
+        """Short of the processor for long, with another controller that is not: a part goes there, as if the leader wished it."""
+        ours = {team: len(owner.part.machines) + len(owner.part.jobs) for team, owner in self.owners.items() if owner.part}
+        fit = set(self.fit_members())
+        others = {
+            label: Other(peer.pace.gap_s, sum(entry.value["owner"] == label for entry in self.parts.entries.values()), peer.beat.leader)
+            for label, peer in self.mesh.peers.items()
+            if label in fit and peer.beat is not None and peer.beat.ready and peer.heard_within(self.ttl_s)
+        }
+        given = self.burden.hand_on(self.pace.gap_s, ours, self.leader is not None, others, now)
+        if given is not None:
+            team, label = given
+            log.info("part %s is handed on to controller %s: this one is short of its processor", team, label)
+            self._for_part(Give(team, label))
+
     def _tell_ahead(self) -> None:
         """What our parts' jobs make of other parts' jobs that they need: said anew with each beat, as long as there is any."""
         if not self.upgrade.agreed:
--- a/ashdock/core/passes.py
+++ b/ashdock/core/passes.py
@@ -59,6 +59,7 @@
         self.open: list[Machine] = []
         self.coming = placing.Slots()
         self.barren = placing.Barren()
+        self.found: dict[tuple[object, ...], list[Machine]] = {}  # machines with room for a need, as of when it was last asked for
         self.images: dict[str, dict[str, int]] = {}  # by image and zone: machines with room that hold it
         for machine in machines:
             if machine.phase is MachinePhase.UP:
@@ -70,6 +71,17 @@
             elif machine.coming(now):
                 self.coming.add(machine.shape, machine.zone, machine.spot)
 
+    def roomy(self, spec: Spec, reserved: set[str]) -> list[Machine]:
+        """Machines with room for a task of it. Within a pass room only shrinks, and what is kept for somebody stays so: who asks as much
+        need only look at those that had room for the one before. Each waiting gang looked at each machine, twice."""
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+        key = (need, tuple(spec.types or ()), spec.zone, spec.spot)
+        found = self.found[key] = [
+            machine for machine in self.found.get(key, self.open)
+            if machine.name not in reserved and placing.permits(spec, machine.type, machine.zone, machine.spot) and machine.fits(*need)
+        ]  # fmt: skip
+        return found
+
     def holders(self, spec: Spec, number: int) -> bool:
         """Whether so many machines with room hold the image, in one zone where the job is to be in one."""
         zones = self.images.get(spec.image)
@@ -217,8 +229,7 @@
         together = (*anywhere, spec.one_zone, spec.spread)
         if look.barren.holds(anywhere, need, 1) or (spec.kind == "gang" and look.barren.holds(together, need, spec.tasks)):
             return permitted
-        free = [machine for machine in look.open if machine.name not in self.part.reserved]
-        options = placing.choices(job, free, now)
+        options = placing.choices(job, look.roomy(spec, self.part.reserved), now)
         picked = placing.select(job, options, permitted, self.part.zone_of)
         if not options:
             look.barren.note(anywhere, need, 1)
@@ -286,13 +297,11 @@
         def suits(label: str, zone: str, spot: bool) -> bool:
             return placing.permits(spec, label, zone, spot)
 
-        for machine in look.open:
+        for machine in look.roomy(spec, self.part.reserved):
             zone = machine.zone if spec.one_zone else ""
-            if machine.name in self.part.reserved or not suits(machine.type, machine.zone, machine.spot):
-                continue
-            if room := machine.fits(*need):
-                rooms.setdefault(zone, []).append((machine, room))
-                promise[zone] = promise.get(zone, 0) + room
+            room = machine.fits(*need)
+            rooms.setdefault(zone, []).append((machine, room))
+            promise[zone] = promise.get(zone, 0) + room
         for zone, room in look.coming.zones(suits, need).items():
             zone = zone if spec.one_zone else ""
             promise[zone] = promise.get(zone, 0) + room
--- a/ashdock/net/mesh.py
+++ b/ashdock/net/mesh.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+from ashdock.fairness.burden import Pace
 from ashdock.wire import frames
 from ashdock.wire.frames import BadFrame, Beat, Frame, Hello
 
@@ -16,7 +17,8 @@
 
 
 class Peer:
-    def __init__(self, label: str, host: str, port: int) -> None:
+    def __init__(self, label: str, host: str, port: int, beat_s: float) -> None:
+        self.pace = Pace(beat_s)
         self.label = label
         self.host = host
         self.port = port
@@ -31,7 +33,7 @@
 class Mesh:
     def __init__(self, label: str, peers: list[tuple[str, str, int]], on_frame: Callable[[str, Frame], None], beat_s: float) -> None:
         self.label = label
-        self.peers = {name: Peer(name, host, port) for name, host, port in peers}
+        self.peers = {name: Peer(name, host, port, beat_s) for name, host, port in peers}
         self.on_frame = on_frame
         self.beat_s = beat_s
         self.server: asyncio.Server | None = None
@@ -124,6 +126,7 @@
                 peer.beat_at = time.monotonic()
                 if isinstance(frame, Beat):
                     peer.beat = frame
+                    peer.pace.beat(peer.beat_at)
                 self.on_frame(label, frame)
         except BadFrame as why:
             log.info("closed a mesh link of %s: %s", label or "nobody known", why)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -12,6 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
+from ashdock.fairness.burden import Burden, Other, Pace
 from ashdock.fairness.line import FairLine
 from ashdock.fairness.rush import Rush
 from ashdock.fairness.served import Row, Served, jain
@@ -147,3 +148,32 @@
     else:
         with pytest.raises(SettingsError, match=named):
             load(str(tmp_path / "s.toml"), tmp_path / "o.hcl")
+
+
+BURDENS: list[tuple[float, dict[str, int], bool, dict[str, Other], tuple[str, str] | None]] = [  # our gap, our parts, leading, others -> what goes where
+    (0.6, {"red": 5, "blue": 9}, True, {"n1": Other(0.5, 0, False)}, None), (2.0, {"red": 5, "blue": 9}, True, {"n1": Other(0.5, 0, False)}, ("red", "n1")),
+    (2.0, {"red": 5, "blue": 9}, False, {"n1": Other(0.5, 1, False)}, None), (2.0, {"red": 5, "blue": 9}, True, {"n1": Other(0.5, 1, False)}, ("red", "n1")),
+    (2.0, {"red": 5, "blue": 9}, True, {"n1": Other(1.5, 0, False)}, None), (2.0, {"red": 5}, True, {"n1": Other(0.5, 0, False)}, ("red", "n1")),
+    (2.0, {"red": 5}, False, {"n1": Other(0.5, 0, False)}, None), (2.0, {}, True, {"n1": Other(0.5, 0, False)}, None), (2.0, {"red": 5}, True, {}, None),
+    (2.0, {"a": 1, "b": 2, "c": 3}, False, {"n1": Other(0.5, 1, True), "n2": Other(0.6, 1, False)}, ("a", "n2")),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("gap_s", "ours", "leads", "others", "given"), BURDENS)
+def test_who_is_short_of_its_processor_for_long_hands_a_part_on(
+    gap_s: float, ours: dict[str, int], leads: bool, others: dict[str, Other], given: tuple[str, str] | None
+) -> None:  # fmt: skip
+    burden = Burden(beat_s=0.5, patience_s=10.0)
+    assert burden.hand_on(gap_s, ours, leads, others, 0.0) is None, "not at once"
+    assert burden.hand_on(gap_s, ours, leads, others, 10.0) == given
+    assert burden.hand_on(gap_s, ours, leads, others, 15.0) is None, "nor the next one soon after"
+
+
+def test_beats_tell_who_is_behind_however_late_they_are_read() -> None:
+    """Of one that beats each half second, read by one that looks only every three; and of one that needs two seconds a round."""
+    well, behind = Pace(0.5), Pace(0.5)
+    for n in range(240):
+        well.beat((n * 0.5 // 3 + 1) * 3)
+    for n in range(60):
+        behind.beat(n * 2.0)
+    assert behind.gap_s > 1.9 and well.gap_s < behind.gap_s
--- a/tests/test_hot.py
+++ b/tests/test_hot.py
@@ -169,3 +169,28 @@
         assert not service.rules.broken
 
     simtime.run(main, 52, monkeypatch)
+
+
+def test_a_controller_that_is_behind_for_long_hands_a_part_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It owns both parts and leads. By work one of them is evened out; the other goes because it is behind, and what runs goes on."""
+
+    async def main(net: simtime.Net) -> None:
+        service = Service(net, machines=8, capacity=8)
+        await service.start()
+        await service.submit(job(1, shares=16, expect_s=60.0))
+        await asyncio.sleep(5)
+        for n in (1, 2):
+            service.crash(n, back_after=14.0)
+        await asyncio.sleep(12)
+        slow = service.controllers[0]
+        assert set(slow.owners) == {"red", "blue"} and slow.leader is not None
+        slow.mesh.beat_s *= 4  # each round of its loop takes four times as long as it is meant to
+        await asyncio.sleep(50)
+        # Leading counts as a part, and the third had nothing.
+        assert slow.leader is not None and [len(controller.owners) for _, controller in sorted(service.controllers.items())] == [0, 1, 1]
+        await service.submit(job(2, owner="blue", shares=2))
+        assert not await service.until_final(["req-000001", "req-000002"], 120)
+        assert not service.rules.broken
+        assert all(worker.tenure == 1 for worker in service.world.workers.values())
+
+    simtime.run(main, 53, monkeypatch)
