--- a/ashdock/core/allotment.py
+++ b/ashdock/core/allotment.py
@@ -78,6 +78,7 @@
         self.sent_back: set[str] = set()  # to the pool, since nobody wanted them
         self.owed_at: dict[tuple[str, str], float] = {}  # by whom and to whom: when it was last asked for
         self.barren = Barren()  # wants for which this round has nothing left
+        self.pers: dict[tuple[str, float, float, float], int] = {}  # this round's: how many of a need a machine of a type takes
         boots = [shape.boot_s for shape in catalog.values()]
         self.boot_s = max(boots, default=shared.workers.lease_s)
         self.settle_s = shared.workers.lease_s / 2
@@ -156,6 +157,7 @@
         spare = {picture.team: picture.spare_beyond for picture in pictures.values()}
         total = len(lent) + sum(rent.number for rent in self.renting_now)
         self.barren = Barren()
+        self.pers.clear()
         for team, want in wants:
             left = self._use_virtual(on_the_way[team], want) if team in on_the_way else want.tasks
             if want.together and left > 0 and (want.whole or not want.zone):
@@ -311,7 +313,11 @@
         return score
 
     def _per(self, type_: str, want: Want) -> int:
-        return capacity(self.catalog[type_], want.cpus, want.gpus, want.memory)
+        key = (type_, want.cpus, want.gpus, want.memory)
+        per = self.pers.get(key)
+        if per is None:
+            per = self.pers[key] = capacity(self.catalog[type_], want.cpus, want.gpus, want.memory)
+        return per
 
     def _most_loss(self, team: str, want: Want, kind: Kind, spare: dict[str, int]) -> float:
         """Up to what loss a machine of that class may be recalled; -1: not at all. A guarantee is regained from teams beyond theirs,
