--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -13,11 +13,12 @@
 from hypothesis import strategies as some
 
 from ashdock.fairness.burden import Burden, Other, Pace
+from ashdock.fairness.classes import Classes
 from ashdock.fairness.line import FairLine
 from ashdock.fairness.rush import Rush
 from ashdock.fairness.served import Row, Served, jain
 from ashdock.net.budget import Budget, Turn
-from ashdock.settings import SettingsError, load
+from ashdock.settings import Objective, SettingsError, load
 from tests import simtime
 from tests.test_wire import GOOD
 
@@ -177,3 +178,35 @@
     for n in range(60):
         behind.beat(n * 2.0)
     assert behind.gap_s > 1.9 and well.gap_s < behind.gap_s
+
+
+def test_a_class_that_falls_behind_rises_by_one_job_a_pass() -> None:
+    """A hot class of short arrays with deadlines went before gangs of the same priority in each pass, as long as any were in time."""
+    classes = Classes([Objective("wait", 0.9, "gang", 10.0), Objective("wait", 0.9, "other", 10.0)], looks_s=1.0)
+    jobs = [ReadyJob(f"g{n}", "gang", 1, float(n)) for n in range(6)] + [ReadyJob(f"a{n}", "array", 1, 0.0) for n in range(6)]
+    jobs.append(ReadyJob("low", "other", 0, 0.0))
+    for job in jobs:
+        classes.came(job.id, job.job_class, "red", 1, job.since, math.inf if job.job_class != "array" else 99.0)
+    every = {job.id for job in jobs}
+    assert classes.lifted(jobs, every, 2.0) == set(), "nothing is due"
+    for n in range(6):
+        classes.served.started(f"a{n}", 1, 3.0)
+        classes.done(f"a{n}", 9.0)
+    # The longest waiting first; one alone, whatever its priority's others are; and nothing for what cannot run or is doubtful.
+    assert classes.lifted(jobs, every, 30.0) == {"g0"} and classes.rising == {"gang"}
+    assert classes.lifted(jobs, every - {"g0"}, 30.5) == {"g1"} and classes.lifted(jobs, set(), 30.6) == set()
+    jobs[0].doubtful = True
+    assert classes.lifted(jobs, every, 30.7) == {"g1"}
+    assert classes.lifted([job for job in jobs if job.job_class == "gang"], every, 30.8) == set(), "nobody of its priority is served better"
+    # Once three quarters are served it rests; what was of long ago is forgotten.
+    for n in range(6, 60):
+        classes.came(f"g{n}", "gang", "red", 1, 31.0, math.inf)
+        classes.served.started(f"g{n}", 1, 32.0)
+    assert classes.lifted(jobs, every, 33.0) == set() and classes.rising == set()
+
+
+class ReadyJob:
+    doubtful = False
+
+    def __init__(self, job_id: str, job_class: str, priority: int, since: float) -> None:
+        self.id, self.job_class, self.priority, self.since = job_id, job_class, priority, since
--- a/tests/test_hot.py
+++ b/tests/test_hot.py
@@ -166,6 +166,10 @@
         await asyncio.sleep(RUSH_S)
         assert jain(len(took) for took in rush.took.values()) > 0.95, {team: len(took) for team, took in rush.took.items()}
         users.cancel()
+        pages = "".join([(await Client(f"10.0.0.{n}", 8080, keep=0).request("GET", "/metrics", b"", 2.0))[1].decode() for n in range(3)])
+        for team in rush.took:
+            assert f'ashdock_served_share{{class="w",team="{team}"}}' in pages and f'ashdock_submissions_turned_away_total{{team="{team}"}}' in pages
+        assert 'ashdock_start_wait_seconds_bucket{class="w",le="+Inf",team="red"}' in pages and "ashdock_class_rises" in pages
         assert not service.rules.broken
 
     simtime.run(main, 52, monkeypatch)
