--- a/tests/test_hot.py
+++ b/tests/test_hot.py
@@ -198,3 +198,36 @@
         assert all(worker.tenure == 1 for worker in service.world.workers.values())
 
     simtime.run(main, 53, monkeypatch)
+
+
+def test_gangs_start_beside_an_array_of_a_hundred_thousand(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Another team's gangs, and its own of higher priority, while the owner of the array ends, and all that is written is short."""
+
+    async def main(net: simtime.Net) -> None:
+        service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
+        await service.start()
+        await asyncio.sleep(8)
+        await service.submit(job(1, shares=100_000, expect_s=1.5, urgency="best_effort"))
+        waited: list[float] = []
+
+        async def gang(number: int, owner: str) -> None:
+            began = service.now()
+            run = job(number, owner=owner, shape="ensemble", shares=2, accelerators=2.0, same_place=True, expect_s=2.0, urgency="high")
+            assert await service.submit(run) in (200, 201)
+            while not any((run["id"], 0) == key for key in service.rules.on) and (run["id"], 0) not in service.rules.done:
+                await asyncio.sleep(0.1)
+            waited.append(service.now() - began)
+
+        gangs = []
+        for number in range(2, 14):
+            gangs.append(asyncio.create_task(gang(number, "blue" if number % 2 else "red")))
+            if number == 5:
+                service.crash(await owner_of(service, "red"), back_after=3.0)
+            await asyncio.sleep(2)
+        await asyncio.gather(*gangs)
+        assert sorted(waited)[len(waited) // 2] <= 4.0 and max(waited) <= 12.0, sorted(waited)
+        assert not await service.until_final([f"req-{number:06d}" for number in range(2, 14)], 60)
+        done = sum(1 for name, _ in service.rules.done if name == "req-000001")
+        assert done > 100 and not service.rules.broken
+
+    simtime.run(main, 54, monkeypatch)
