A controller that is behind refuses questions about a hot team's jobs first; tests shortened

Need: questions of all teams were refused alike once the processor is short, though four of five came of one team.

--- a/ashdock/admission/desk.py
+++ b/ashdock/admission/desk.py
@@ -90,10 +90,10 @@
         self.turned_away[team if team in self.rush.teams else ""] += 1
         return self._refuse("submission", of, 429, why, self.rush.returns_in(team, wait_s, each_s, now), now)
 
-    def question(self, now: float) -> Refusal | None:
-        """Questions give way before submissions do: who asks will ask again in any case."""
+    def question(self, now: float, team: str = "") -> Refusal | None:
+        """Questions give way before submissions do: who asks will ask again in any case. About a hot team's jobs, first of all."""
         late_s = self.processor.late_s(now)
-        if late_s > USER_WAITS_S / 4:
+        if late_s > USER_WAITS_S / (8 if self.rush.hot(team) else 4):
             return self._refuse("question", Short.PROCESSOR, 429, "this controller is behind", 1 + int(late_s), now)
         return None
 
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -261,7 +261,8 @@
             return Answer(200, self._final(job_id, final))
         if not self._state_usable():
             return error(503, "the state service does not answer", self._retry_after())
-        behind = self.house.admission.question(time.monotonic())
+        remembered = self.questions.known.get(job_id)
+        behind = self.house.admission.question(time.monotonic(), remembered.team if remembered else "")
         if behind:
             return refused(behind)
         try:
--- a/tests/test_hot.py
+++ b/tests/test_hot.py
@@ -79,6 +79,13 @@
         await asyncio.gather(*(self.arrive(team, rate) for team, rate in rates.items()))
 
 
+async def begun(net: simtime.Net) -> Service:
+    service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
+    await service.start()
+    await asyncio.sleep(8)
+    return service
+
+
 async def owner_of(service: Service, team: str) -> int:
     return next(n for n, controller in service.controllers.items() if team in controller.owners)
 
@@ -139,9 +146,7 @@
     trouble: Any, rates: dict[str, float], within: float, longest: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:  # fmt: skip
     async def main(net: simtime.Net) -> None:
-        service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
-        await service.start()
-        await asyncio.sleep(8)
+        service = await begun(net)
         rush = Rush(service)
         await asyncio.gather(rush.run(rates), trouble(service, rush))
         net.heal()
@@ -158,9 +163,7 @@
 
 def test_two_hot_teams_are_taken_alike(monkeypatch: pytest.MonkeyPatch) -> None:
     async def main(net: simtime.Net) -> None:
-        service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
-        await service.start()
-        await asyncio.sleep(8)
+        service = await begun(net)
         rush = Rush(service)
         users = asyncio.create_task(rush.run({"red": 40.0, "blue": 15.0}))
         await asyncio.sleep(RUSH_S)
@@ -204,9 +207,7 @@
     """Another team's gangs, and its own of higher priority, while the owner of the array ends, and all that is written is short."""
 
     async def main(net: simtime.Net) -> None:
-        service = Service(net, machines=12, capacity=12, later=NextLimits(write_rps=WRITES))
-        await service.start()
-        await asyncio.sleep(8)
+        service = await begun(net)
         await service.submit(job(1, shares=100_000, expect_s=1.5, urgency="best_effort"))
         waited: list[float] = []
 
