--- a/ashdock/core/passes.py
+++ b/ashdock/core/passes.py
@@ -111,9 +111,9 @@
         return out
 
     def _can_run(self, jobs: list[Job]) -> Iterator[str]:
-        """Those for which the part has a machine of a kind that they allow, be it full."""
+        """Those for which the part has a machine of a kind that they allow, be it full. Not looked for before somebody asks."""
         kinds = {(machine.type, machine.zone, machine.spot) for machine in self.part.machines.values() if machine.usable}
-        return (job.id for job in jobs if any(placing.permits(job.spec, *kind) for kind in kinds))
+        yield from (job.id for job in jobs if any(placing.permits(job.spec, *kind) for kind in kinds))
 
     def slack(self, job: Job, now: float) -> float:
         """Seconds until the job had better be running."""
--- a/ashdock/fairness/classes.py
+++ b/ashdock/fairness/classes.py
@@ -62,12 +62,11 @@
         self.served.accepted(job)
 
     def done(self, job: str, now: float) -> None:
-        known = self.served.open.get(job)
-        if known is not None:
-            row = known.row(now, done=True)
-            due, served = self.recent.get(known.job_class, (0.0, 0.0))
-            self.recent[known.job_class] = (due + row.due, served + row.served)
-            self.served.done(job, now)
+        over = self.served.done(job, now)
+        if over is not None:
+            name, row = over
+            due, served = self.recent.get(name, (0.0, 0.0))
+            self.recent[name] = (due + row.due, served + row.served)
 
     def look(self, now: float) -> dict[str, float]:
         """Each class's share of late, as far as enough of it is due."""
--- a/ashdock/fairness/served.py
+++ b/ashdock/fairness/served.py
@@ -91,10 +91,14 @@
         counts[min(max(math.ceil(math.log2(max(waited, 1e-3) / FIRST_WAIT_S)), 0), BOUNDS)] += tasks
         self.waited_s[known.job_class] = self.waited_s.get(known.job_class, 0.0) + waited * tasks
 
-    def done(self, job: str, at: float) -> None:
+    def done(self, job: str, at: float) -> tuple[str, Row] | None:
+        """Its class, and what it counts for; None if it is not known."""
         known = self.open.pop(job, None)
-        if known is not None:
-            self._close(known, known.row(at, done=True))
+        if known is None:
+            return None
+        row = known.row(at, done=True)
+        self._close(known, row)
+        return known.job_class, row
 
     def withdrawn(self, job: str) -> None:
         known = self.open.pop(job, None)
