A message that is not understood is refused with the same heads as every answer

Found on reading the change once more: this head was still written by hand beside message(). Same status, body and end of the connection.

--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -199,10 +199,8 @@
             return Answer(503, b'{"error":"internal"}', retry_after=1)
 
     def _refuse(self, writer: asyncio.StreamWriter, why: str) -> None:
-        body = b'{"error":"not HTTP/1.1 as understood here"}'
-        head = f"HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         log.debug("refused a message: %s", why)
-        writer.write(head.encode() + b"Connection: close\r\n\r\n" + body)
+        writer.write(message(Answer(400, b'{"error":"not HTTP/1.1 as understood here"}'), close=True))
 
 
 class NoAnswer(Exception):
