--- a/tests/standins.py
+++ b/tests/standins.py
@@ -400,7 +400,10 @@
             self.world.gangs.setdefault((job, attempt), []).append((self, share))
             self.change.set()
         work = run.get("spans", {}).get(int(number), run["expect_s"]) if run["shape"] != "daemon" else 1e9
-        left = work - self.world.saved.get(share, 0.0)
+        # A gang has one progress, that of its first task to save in an attempt. Kept for each task alone, one resumed behind the other, and was
+        # not done when the whole was.
+        saved = job if gang else share
+        left = work - self.world.saved.get(saved, 0.0)
         failing = run.get("fails", 0) or self.error_share > self.world.rng.random()
         while left > 0:
             step = min(left, 0.5)
@@ -408,8 +411,8 @@
             await self.awake.wait()
             left -= step
             if task["status"] == "ended":
-                if run["snapshot_s"] and task.get("more", {}).get("kept"):
-                    self.world.saved[share] = work - left
+                if run["snapshot_s"] and task.get("more", {}).get("kept") and self.world.saved_in.get(saved) != attempt:
+                    self.world.saved[saved], self.world.saved_in[saved] = work - left, attempt
                 return
             if failing:
                 run["fails"] = max(0, run.get("fails", 0) - 1)
@@ -460,7 +463,8 @@
         self.rng = random.Random(net.rng.random())
         self.workers: dict[str, Worker] = {}
         self.charters: dict[str, list[str]] = {}
-        self.saved: dict[str, float] = {}
+        self.saved: dict[str, float] = {}  # progress of tasks, and of gangs as a whole
+        self.saved_in: dict[str, int] = {}  # attempt
         self.lost_mates: set[tuple[str, int]] = set()
         self.waiting: dict[tuple[str, int], int] = {}
         self.gangs: dict[tuple[str, int], list[tuple[Worker, str]]] = {}  # they complete jointly
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,7 +12,7 @@
 from tests import meetings
 from tests.meetings import Met
 from tests.simtime import spawn
-from tests.test_core import commit, part_with, report, spec, started
+from tests.test_core import commit, part_with, queued, report, spec, started
 from tests.test_restarts import owned
 from tests.test_whole import play
 from tests.whole import Service, job
@@ -166,6 +166,24 @@
     assert live.status == "running" and (machine.tenure, machine.tally) == (1, 9) and machine.last_at == 4.0
 
 
+@pytest.mark.parametrize(("tenure", "token", "tasks", "counts"), [
+    (1, 10, [], True), (2, 10, [], True), (3, 10, [], True), (1, 0, [], True),  # from before: what it lacks says nothing
+    (1, 10, [("req-000001/0", 1, "running", None)], True), (2, 10, [("req-000001/0", 0, "ended", "done")], True),  # it is stopped then
+    (2, 10, [("req-000001/0", 9, "ended", "error")], True),  # of another attempt
+    (1, 10, [("req-000001/0", 1, "ended", "error")], True),  # of a session before the one noted at the loan: not looked at
+    (2, 10, [("req-000001/0", 1, "ended", "error")], False),  # that an attempt has ended is true for good
+    (2, 50, [], False), (2, 50, [("req-000001/0", 1, "pulling", None)], True),  # under our own token
+])  # fmt: skip
+def test_the_first_report_that_a_new_owner_hears(tenure: int, token: int, tasks: list[Any], counts: bool) -> None:
+    """Nothing is there to compare it with: of an earlier session, attempt or token, kept back until now, it proves an attempt's end at most."""
+    heir = part_with([], "", stamp=50)
+    work = [("work/red/req-000001/job", queued(spec(shares=1), 0.0), 7), ("work/red/req-000001/0", {"a": 1, "p": [[0, "vm-0", 1]]}, 20)]
+    heir.load([("vm-0", {"t": "g4", "z": "a", "s": False, "p": "red", "a": "10.1.0.1:9000", "n": 2}, 5)], work, [], 5.0)
+    heir.preempt(heir.jobs["req-000001"], [0], "test", 5.0)
+    heir.reports.on_report(report("vm-0", 9, tasks, warrant=token, tenure=tenure), 6.0, True)
+    assert (0 in heir.jobs["req-000001"].live) is counts
+
+
 def test_a_start_is_committed_under_the_jobs_stamp_and_the_claim() -> None:
     """Whoever does not hear of a cancellation can't commit a start after it."""
     part = part_with([spec(shares=2)], "a")
