--- a/tests/scale.py
+++ b/tests/scale.py
@@ -9,6 +9,7 @@
     python -m tests.scale calm              the same arrivals of all the others without that
     python -m tests.scale wide --times 1.5 --restart 0.3 --ends 5,8,12,30:all,33:all
                                             calm, and the controller with most machines (or all) ended at these seconds, back after --restart
+    python -m tests.scale cost              where processor time and memory go (tests/cost.py)
     python -m tests.scale duties --times 1.5    calm, and how long nobody holds the machines' duty, by what became of its holder
 
 What was served of each class and team is printed (ashdock/fairness/served.py); where a share is under a half the tool exits with 1.
@@ -44,7 +45,7 @@
 from ashdock.fairness.served import HALF, Served, jain
 from ashdock.net.http import Client, NoAnswer
 from ashdock.settings import Objective, Team
-from tests import courses, simtime, whole
+from tests import cost, courses, simtime, whole
 from tests.fleet import Fleet
 from tests.simtime import HOST, Net, SimLoop
 
@@ -78,6 +79,7 @@
         self.running: tuple[str, float] | None = None
         self.slow: dict[str, float] = {}  # how many times slower a host computes
         self.profile: cProfile.Profile | None = None  # of the controllers' own steps
+        self.profiles: dict[str, cProfile.Profile] = {}  # of each controller's alone, by host
 
     def share_of(self, host: str) -> float:
         return self.share / self.slow.get(host, 1.0)
@@ -122,15 +124,16 @@
                         self.lines[host].remove(gate)
             began = time.thread_time()
             self.running = (host, began)
-            if self.profile:
-                self.profile.enable()
+            profile = self.profile or self.profiles.get(host)
+            if profile:
+                profile.enable()
             try:
                 step = act(with_)
             except StopIteration as end:
                 return end.value
             finally:
-                if self.profile:
-                    self.profile.disable()
+                if profile:
+                    profile.disable()
                 took = time.thread_time() - began
                 self.running = None
                 self.spent[host] += took
@@ -183,9 +186,11 @@
 class Users:
     """Each submits a job as soon as it has it, over a load balancer that knows who is ready, and asks every 5 s until it is done."""
 
-    def __init__(self, fleet: Fleet, times: float, seed: int = 7) -> None:
+    def __init__(self, fleet: Fleet, times: float, seed: int = 7, shape: cost.Shape | None = None) -> None:
         self.fleet = fleet
         self.times = times
+        self.kinds = shape.kinds if shape else KINDS
+        self.teams = [team[0] for team in (shape.teams if shape else TEAMS)]
         self.seed = seed
         self.rng = random.Random(seed)
         self.served = fleet.rules.served = Served()
@@ -283,7 +288,7 @@
         form = dict(form)
         sizes, weights, images = form.pop("sizes"), form.pop("weights"), form.pop("images")
         run_s = form["expect_s"] * (0.5 + rng.random())
-        owner = HOT if hot else rng.choices([t[0] for t in TEAMS], [1.1, 1.6, 1.0])[0]
+        owner = HOT if hot else rng.choices(self.teams, [1.1, 1.6, 1.0][: len(self.teams)])[0]
         return whole.job(
             self.number, workload=kind, owner=owner, bundle=f"{kind}-{rng.randrange(images)}", shares=rng.choices(sizes, weights)[0],
             **{**form, "expect_s": round(run_s, 1), "ram_gb": 40.0}, yard=HOT_ZONE if hot and rng.random() < 0.7 else None,
@@ -306,7 +311,7 @@
     async def run(self) -> None:
         self.spawn(self.probe())
         await asyncio.sleep(3)
-        for kind, rate, form in KINDS:
+        for kind, rate, form in self.kinds:
             for _ in range(int(rate * self.times * 60)):
                 self.spawn(self.one(self.job(kind, form, self.rng)))
             self.spawn(self.arrive(kind, rate, form))
@@ -476,7 +481,7 @@
 
 def main() -> None:
     top = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    top.add_argument("what", choices=["grow", "full", "alone", "calm", "hot", "hot-rough", "wide", "duties"])
+    top.add_argument("what", choices=["grow", "full", "alone", "calm", "hot", "hot-rough", "wide", "duties", "cost"])
     top.add_argument("--times", type=float, nargs="+", default=[1, 2, 4, 8])
     top.add_argument("--sockets", type=int, default=1200)
     top.add_argument("--seconds", type=float, help="simulated, after 75 s to fill the fleet")
@@ -488,9 +493,19 @@
     top.add_argument("--profile", action="store_true", help="print where the controllers' processor time goes")
     top.add_argument("--save")
     top.add_argument("--before")
+    top.add_argument("--shape", action="append", default=[], help=f"of {', '.join(cost.SHAPES)} (cost); none: all")
+    top.add_argument("--course", action="append", default=[], help=f"of {', '.join(cost.COURSES)} (cost); none: all")
     options = top.parse_args()
-    if min(options.times) <= 0 or options.restart <= 0:
-        courses.wrong("--times, --restart: expected numbers above 0")
+    if min(options.times) <= 0 or options.restart <= 0 or (options.seconds is not None and options.seconds <= 0):
+        courses.wrong("--times, --restart, --seconds: expected numbers above 0")
+    for flag, given, known in (("--shape", options.shape, cost.SHAPES), ("--course", options.course, cost.COURSES)):
+        if set(given) - set(known):
+            courses.wrong(f"{flag}: expected some of {', '.join(known)}; found {', '.join(sorted(set(given) - set(known)))}")
+    if options.what == "cost":
+        times = options.times[0] if len(options.times) == 1 else 1.0
+        tools = simulate, lambda fleet, times, shape: Users(fleet, times, options.seed, shape), Meter
+        cost.report(options.shape or list(cost.SHAPES), options.course or cost.COURSES, times, options.seconds or 30.0, options.save, tools)
+        return
     try:
         ends = courses.ends_of(options.ends) if options.what == "wide" else []
     except ValueError as why:
