Heads of messages are read and written by h11 once for all alike

Now what h11 made of the very same bytes is remembered, for messages whose body is told by its length alone; others are read event by event as before. A table of messages, each cut in several places, is read alike both ways.

--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -8,18 +8,19 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
-from functools import lru_cache
 from typing import NamedTuple
 
 import h11
 
 from ashdock.admission.door import Door
 from ashdock.admission.shares import Use, plain
+from ashdock.net import heads
 
 log = logging.getLogger("ashdock.http")
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
+MOST_READ = 256 * 1024  # of an answer at a time
 
 
 class Request(NamedTuple):
@@ -28,6 +29,18 @@
     body: bytes
 
 
+class Received(NamedTuple):
+    """A request that has come, whether another may follow it on its connection, and what of that one is here already."""
+
+    request: Request
+    stays: bool
+    ahead: bytes
+
+
+class TooLarge(Exception):
+    """A body beyond the limit."""
+
+
 class Answer(NamedTuple):
     status: int
     body: bytes = b""
@@ -42,28 +55,10 @@
            500: b"Internal Server Error", 503: b"Service Unavailable"}  # fmt: skip
 
 
-@lru_cache(maxsize=64)
-def head_of(status: int, content_type: bytes, retry_after: int | None, close: bool) -> bytes:
-    """The head of an answer up to its length, which comes last. h11 checks and writes it once for all answers alike: done for each,
-    that was a fifth of what answering thousands of workers cost, and they differ in nothing but their length."""
-    headers = [(b"content-type", content_type)]
-    if retry_after is not None:
-        headers.append((b"retry-after", str(retry_after).encode()))
-    if close:
-        headers.append((b"connection", b"close"))
-    headers.append((b"content-length", b"0"))
-    connection = h11.Connection(h11.SERVER)
-    connection.receive_data(b"GET / HTTP/1.1\r\nhost: any\r\n\r\n")
-    while not isinstance(connection.next_event(), h11.EndOfMessage):
-        pass
-    head = connection.send(h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))) or b""
-    return head.removesuffix(b"0\r\n\r\n")
-
-
 def message(answer: Answer, close: bool, body: bool = True) -> bytes:
     """An answer as it is sent. Without its `body` for HEAD."""
-    head = head_of(answer.status, answer.content_type, answer.retry_after, close)
-    return b"%b%d\r\n\r\n%b" % (head, len(answer.body), answer.body if body else b"")
+    head = heads.answering(answer.status, REASONS.get(answer.status, b""), answer.content_type, answer.retry_after, close, len(answer.body))
+    return head + answer.body if body else head
 
 
 def all_alike(target: str) -> Use:
@@ -154,14 +149,47 @@
 
     async def _one(self, ahead: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes | None:
         """Answer one request, of which `ahead` came with the one before. What came after it, or None when the connection is over."""
-        # Each request has a parser of its own, and only reading goes through it: with one for all of a connection, each answer had to
-        # be told to it event by event.
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         if not ahead:
             ahead = await reader.read(MOST_BODY)
             if not ahead:
                 return None
             self.door.asks(writer, time.monotonic())
+        try:
+            known = heads.request_of(ahead)
+            received = await (self._by_length(*known, reader, writer) if known else self._by_events(ahead, reader, writer))
+        except TooLarge:
+            writer.write(message(Answer(400, b'{"error":"the body exceeds 64 KiB"}'), close=True))
+            await writer.drain()
+            return None
+        if received is None:
+            return None
+        request = received.request
+        if not self.door.told(writer, self.use_of(request.target)):
+            writer.write(message(self.refused(), close=True))
+            await writer.drain()
+            return None
+        answer = await self._answer(request)
+        # Whose connections have outgrown their share is told to close it together with the answer: no request is on its way then.
+        stays = self.door.answered(writer, time.monotonic()) and received.stays
+        writer.write(message(answer, close=not stays, body=request.method != "HEAD"))
+        await writer.drain()
+        return received.ahead if stays else None
+
+    async def _by_length(self, head: heads.RequestHead, body: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Received:
+        """The request with a head that is known, whose body begins with what has come."""
+        if head.length > MOST_BODY:
+            raise TooLarge
+        while len(body) < head.length:
+            data = await reader.read(MOST_BODY)
+            if not data:
+                raise h11.RemoteProtocolError("the body is cut short")
+            self.door.asks(writer, time.monotonic())
+            body += data
+        return Received(Request(head.method.decode("ascii"), head.target, body[: head.length]), True, body[head.length :])
+
+    async def _by_events(self, ahead: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Received | None:
+        """Any other request. Each has a parser of its own, and only reading goes through it."""
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         connection.receive_data(ahead)
         request = await self._event(connection, reader, writer)
         if not isinstance(request, h11.Request):
@@ -172,24 +200,13 @@
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MOST_BODY:
-                    writer.write(message(Answer(400, b'{"error":"the body exceeds 64 KiB"}'), close=True))
-                    await writer.drain()
-                    return None
+                    raise TooLarge
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
                 return None
-        target = request.target.decode("ascii")
-        if not self.door.told(writer, self.use_of(target)):
-            writer.write(message(self.refused(), close=True))
-            await writer.drain()
-            return None
-        answer = await self._answer(Request(request.method.decode("ascii"), target, bytes(body)))
-        # Whose connections have outgrown their share is told to close it together with the answer: no request is on its way then.
-        stays = self.door.answered(writer, time.monotonic()) and connection.their_state is h11.DONE
-        writer.write(message(answer, close=not stays, body=request.method != b"HEAD"))
-        await writer.drain()
-        return connection.trailing_data[0] if stays else None
+        asked = Request(request.method.decode("ascii"), request.target.decode("ascii"), bytes(body))
+        return Received(asked, connection.their_state is h11.DONE, connection.trailing_data[0])
 
     async def _answer(self, request: Request) -> Answer:
         try:
@@ -277,35 +294,26 @@
             link = await self._connect()
         ok = False
         try:
-            connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
-            headers = [(b"host", self.host.encode()), (b"content-length", str(len(body)).encode())]
-            if body:
-                headers.append((b"content-type", b"application/json"))
-            parts = [connection.send(h11.Request(method=method, target=target, headers=headers))]
-            if body:
-                parts.append(connection.send(h11.Data(data=body)))
-            parts.append(connection.send(h11.EndOfMessage()))
             sent[0] = True
-            link.writer.write(b"".join(part for part in parts if part))
-            status = 0
-            chunks: list[bytes] = []
-            while True:
-                event = connection.next_event()
-                if event is h11.NEED_DATA:
-                    data = await link.reader.read(256 * 1024)
-                    if not data and not status:
-                        raise EOFError("closed before an answer")
-                    connection.receive_data(data)
-                elif isinstance(event, h11.Response):
-                    status = event.status_code
-                elif isinstance(event, h11.Data):
-                    chunks.append(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    break
-                elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            link.writer.write(heads.asking(self.host, method, target, body))
+            data = await link.reader.read(MOST_READ)
+            if not data:
+                raise EOFError("closed before an answer")
+            known = heads.response_of(data)
+            if known is None:
+                status, answer, ok = await self._by_events(data, link.reader)
+                return status, answer
+            head, answer = known
+            parts, left = [answer], head.length - len(answer)
+            while left > 0:
+                data = await link.reader.read(MOST_READ)
+                if not data:
                     raise EOFError("closed before an answer")
-            ok = connection.our_state is h11.DONE and connection.their_state is h11.DONE
-            return status, b"".join(chunks)
+                parts.append(data)
+                left -= len(data)
+            ok = left == 0
+            answer = b"".join(parts)
+            return head.status, answer if ok else answer[: head.length]
         finally:
             link.used = time.monotonic()
             if ok and len(self.free) < self.keep:
@@ -315,6 +323,32 @@
             else:
                 link.writer.transport.abort()
 
+    @staticmethod
+    async def _by_events(data: bytes, reader: asyncio.StreamReader) -> tuple[int, bytes, bool]:
+        """An answer whose head is not known: its status, its body, and whether the connection can be kept."""
+        connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
+        connection.send(h11.Request(method="GET", target="/", headers=[(b"host", b"any")]))
+        connection.send(h11.EndOfMessage())
+        connection.receive_data(data)
+        status = 0
+        chunks: list[bytes] = []
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(MOST_READ)
+                if not data and not status:
+                    raise EOFError("closed before an answer")
+                connection.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise EOFError("closed before an answer")
+        return status, b"".join(chunks), connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
     def close(self) -> None:
         while self.free:
             self.free.pop().writer.transport.abort()
