What may grow has a share of the memory; garbage is left alone while a controller starts; what things cost is held by counts

- Bodies of requests, what connections hold unread and jobs that are remembered have shares of ram_mb; beyond them 503 with Retry-After.
- Collections are off until a lease after /ready, then seldom.
- core_share, ram_mb, max_connections too small for a start: one line with the field and the least that works, exit 2.
- tests/test_cost.py: calls a report, request, question, pass and start, modules imported, the budget's share that is accounted for.

--- a/ashdock/admission/desk.py
+++ b/ashdock/admission/desk.py
@@ -10,7 +10,7 @@
 
 from ashdock.admission.door import Door
 from ashdock.admission.processor import Processor
-from ashdock.admission.shares import Use, shares_of
+from ashdock.admission.shares import Use, memory_of, shares_of
 from ashdock.fairness.rush import Rush
 from ashdock.settings import Shared
 
@@ -29,6 +29,7 @@
     SOCKETS = "sockets"
     PROCESSOR = "processor"
     WRITES = "writes"
+    MEMORY = "memory"
 
 
 class Refusal(NamedTuple):
@@ -67,6 +68,8 @@
         self.shares = shares_of(shared.machine_limits.max_connections, peers)
         # A worker that has not reported for two and a half of its periods reports elsewhere, or not at all.
         self.door = Door(self.shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5 * shared.workers.report_s)
+        self.memory = memory_of(shared.machine_limits.ram_mb, self.shares.inbound)
+        self.bodies = 0  # bytes of what comes in and is answered
         self.processor = Processor(fades_s=shared.workers.report_s / 2)
         self.shortages = {what: _Shortage(what) for what in Short}
         self.refused: Counter[tuple[str, Short]] = Counter()  # what was asked for, and what there was too little of
@@ -101,6 +104,21 @@
         """The answer to whom the door has no place for."""
         return self._refuse("connection", Short.SOCKETS, 503, "no connection to spare", 1, now)
 
+    def body(self, size: int, use: Use) -> bool:
+        """Whether so many bytes more may come in; they count until `body_done`. A quarter is for workers' reports alone: leases hang on them."""
+        most = self.memory.bodies if use is Use.WORKER else self.memory.bodies * 3 // 4
+        if self.bodies + size > most:
+            return False
+        self.bodies += size
+        return True
+
+    def body_done(self, size: int) -> None:
+        self.bodies -= size
+
+    def no_memory(self, now: float) -> Refusal:
+        """The answer to whom there is no memory for what it sends."""
+        return self._refuse("request", Short.MEMORY, 503, "too much comes in at once", 1, now)
+
     def _refuse(self, what: str, of: Short, status: int, why: str, retry_after: int, now: float) -> Refusal:
         self.refused[what, of] += 1
         shortage = self.shortages[of]
@@ -111,6 +129,8 @@
     def picture(self, of: Short, now: float) -> str:
         if of is Short.PROCESSOR:
             return f"answers wait {self.processor.late_s(now):.2f} s; questions go first, then submissions"
+        if of is Short.MEMORY:
+            return f"{self.bodies} of {self.memory.bodies} bytes of requests have come in or are being answered"
         if of is Short.WRITES:
             return f"what users submit waits {self.line_s:.2f} s to be written"
         door, users = self.door, self.door.count(Use.USER)
--- a/ashdock/admission/shares.py
+++ b/ashdock/admission/shares.py
@@ -1,4 +1,4 @@
-"""Named shares of a controller's sockets, each a ratio to the limit that the settings give."""
+"""Named shares of a controller's sockets and memory, each a ratio to the limit that the settings give."""
 
 from __future__ import annotations
 
@@ -61,3 +61,33 @@
 def plain(limit: int) -> Shares:
     """All for whoever comes: for an end that serves one kind of caller."""
     return Shares(limit, dict.fromkeys(Use, limit), limit)
+
+
+def least_connections(peers: int) -> int:
+    """The smallest limit that leaves a place for each use besides what we need ourselves."""
+    least = {use: number for use, (_, number) in CERTAIN.items()}
+    ours = sum(least[use] for use in (Use.STATE, Use.CLOUD, Use.ORDERS)) + LINKS * (peers + 1) + 4
+    return ours + sum(least[use] for use in (Use.NEW, Use.USER, Use.PROBE, Use.WORKER))
+
+
+# Of the memory that the settings give, for each thing that grows with those who ask. What a start needs, the records of the fleet and the jobs
+# that are open have the rest.
+BODIES = 1 / 8  # of requests that come in or are being answered
+BUFFERS = 1 / 8  # what all connections may hold that has not been read
+REMEMBERED = 1 / 8  # jobs that have ended, and stamps of others
+JOB_BYTES = 512  # of one that is remembered
+MOST_JOBS = 20_000  # that are remembered, however much memory there is
+LEAST_BUFFER, MOST_BUFFER = 2 * 1024, 64 * 1024
+
+
+class Memory(NamedTuple):
+    bodies: int  # bytes
+    buffer: int  # bytes of a connection: its reader stops reading at twice that
+    jobs: int
+
+
+def memory_of(ram_mb: float, inbound: int) -> Memory:
+    """Divide a controller's memory (MB) with so many connections to it at most."""
+    whole = ram_mb * 2**20
+    buffer = int(min(max(whole * BUFFERS / (2 * max(inbound, 1)), LEAST_BUFFER), MOST_BUFFER))
+    return Memory(int(whole * BODIES), buffer, int(min(whole * REMEMBERED / JOB_BYTES, MOST_JOBS)))
--- a/ashdock/cli.py
+++ b/ashdock/cli.py
@@ -73,6 +73,8 @@
         raise SettingsError(f"{operators}: cannot be read: no such file")
     teams = ", ".join(team.name for team in settings.settings.teams)
     print(f"{file}: good: controller {settings.label} of {settings.settings.size}, teams {teams}")
+    limits = settings.settings.machine_limits
+    print(f"this controller: {limits.core_share:g} of a core, {limits.ram_mb:g} MB, {limits.max_connections} connections")
     state = settings.settings.state
     print(f"state service: {_limits(state)}" + (f"; later no more than {_limits(state.smaller())}" if state.next else ""))
     return 0
@@ -85,15 +87,21 @@
 def serve(settings: Settings) -> int:
     set_up_logging()
     import asyncio
-    import gc
 
+    from ashdock import garbage
     from ashdock.controller import Controller
 
-    # What was imported stays: leaving it out of every later collection saves processor time.
-    gc.collect()
-    gc.freeze()
+    async def run() -> None:
+        controller = Controller(settings)
+        later = asyncio.create_task(garbage.begin_later(controller.ready, settings.settings.workers.lease_s))
+        try:
+            await controller.run()
+        finally:
+            later.cancel()
+
+    garbage.put_off()
     try:
-        asyncio.run(Controller(settings).run())
+        asyncio.run(run())
     except KeyboardInterrupt:
         return 130
     except OSError as why:
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -113,7 +113,8 @@
         self.membership = Membership(self, self.workers.lease_s)
         self.deputy = Deputy(self.workers, self.jobs, lambda job: self.front.is_withdrawn(job), self.word.vouched)
         self.front: Front = Front(self)
-        self.server = Server(self.front.handle, self.admission.door, use_of, self._no_place)
+        admission = self.admission
+        self.server = Server(self.front.handle, admission.door, use_of, self._no_place, admission, self._no_memory, admission.memory.buffer)
         self.background: set[asyncio.Task[Any]] = set()
 
     # -- what the parts of a controller ask of one another ------------------------------------------------
@@ -214,6 +215,9 @@
     def _no_place(self) -> Answer:
         return refused(self.admission.no_place(time.monotonic()))
 
+    def _no_memory(self) -> Answer:
+        return refused(self.admission.no_memory(time.monotonic()))
+
     # -- how well we are connected ---------------------------------------------------------------------------
 
     def state_fresh(self) -> bool:
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -31,7 +31,6 @@
 
 JOB = re.compile(r"^/v2/runs/([0-9A-Za-z_.-]{1,120})(/withdraw)?$")
 ANSWER_S = 1.5  # a status is given up after this: its user waits 2 s
-FINALS = 20_000  # final answers kept at hand; the rest are read again
 RECORD_GROWS = 300  # bytes by which a record may come to be longer: a reason, and when it ended
 NEEDS_AT_ONCE = 8  # reads of what a submission names
 NEEDS_NAMED = 10  # of what a job waits for, to who asks
@@ -136,7 +135,7 @@
         self.finals: OrderedDict[str, Final] = OrderedDict()
         self.reads: dict[str, asyncio.Future[Entry | None]] = {}
         self.looking: set[str] = set()  # jobs that others need, being looked up to tell who asks
-        self.questions = Questions(house.state, ANSWER_S, self.saw)
+        self.questions = Questions(house.state, ANSWER_S, self.saw, house.admission.memory.jobs)
         self.redirected: dict[str, Sent] = {}  # worker: when we last sent it to its owner
         self.relaying: dict[str, Sent] = {}  # worker: relayed for since
         self.answered: dict[str, float] = {}  # worker: when an owner here last answered it
@@ -375,7 +374,7 @@
 
     def _over(self, job_id: str, final: Final) -> None:
         self.finals[job_id] = final
-        if len(self.finals) > FINALS:
+        if len(self.finals) > self.house.admission.memory.jobs:  # the rest are read again
             self.finals.popitem(last=False)
 
     def is_final(self, job_id: str) -> bool:
--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -8,7 +8,7 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import h11
 
@@ -41,6 +41,18 @@
     """A body beyond the limit."""
 
 
+class NoMemory(Exception):
+    """There is no memory for a body."""
+
+
+class Bodies(Protocol):
+    """Who tells how many bytes of bodies may be here at once."""
+
+    def body(self, size: int, use: Use) -> bool: ...
+
+    def body_done(self, size: int) -> None: ...
+
+
 class Answer(NamedTuple):
     status: int
     body: bytes = b""
@@ -77,12 +89,16 @@
 class Server:
     """Serves the connections that its door lets in; what is slow or silent is closed.
 
-    `use_of` tells by a request's target what a connection is for; `refused` makes the answer to whom there is no place for.
+    `use_of` tells by a request's target what a connection is for; `refused` makes the answer to whom there is no place for, `full` to whom there is
+    no memory for by `bodies`. A connection's unread bytes are held up to twice `buffer`.
     """
 
     def __init__(
-        self, handler: Handler, door: Door, use_of: Callable[[str], Use] = all_alike, refused: Callable[[], Answer] = no_place
-    ) -> None:
+        self, handler: Handler, door: Door, use_of: Callable[[str], Use] = all_alike, refused: Callable[[], Answer] = no_place,
+        bodies: Bodies | None = None, full: Callable[[], Answer] = no_place, buffer: int = MOST_BODY,
+    ) -> None:  # fmt: skip
+        self.bodies, self.full, self.buffer = bodies, full, buffer
+        self.held: dict[asyncio.StreamWriter, int] = {}  # bytes of its request's body
         self.handler = handler
         self.door = door
         self.use_of = use_of
@@ -92,7 +108,7 @@
         self.sweeper: asyncio.Task[None] | None = None
 
     async def start(self, host: str, port: int) -> None:
-        self.server = await asyncio.start_server(self._serve, host, port, backlog=128)
+        self.server = await asyncio.start_server(self._serve, host, port, backlog=128, limit=self.buffer)
         self.sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
@@ -125,15 +141,29 @@
             ahead: bytes | None = b""
             while ahead is not None:
                 ahead = await self._one(ahead, reader, writer)
+                self._let_go(writer)
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
         except h11.ProtocolError as why:
             self._refuse(writer, str(why))
         finally:
+            self._let_go(writer)
             self.door.left(writer)
             self.open.discard(writer)
             writer.close()
 
+    def _holds(self, writer: asyncio.StreamWriter, size: int, target: str) -> None:
+        """So many bytes more of a body come over this connection. Raises NoMemory."""
+        if size and self.bodies is not None:
+            if not self.bodies.body(size, self.use_of(target)):
+                raise NoMemory
+            self.held[writer] = self.held.get(writer, 0) + size
+
+    def _let_go(self, writer: asyncio.StreamWriter) -> None:
+        size = self.held.pop(writer, 0)
+        if size and self.bodies is not None:
+            self.bodies.body_done(size)
+
     async def _event(self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> h11.Event:
         while True:
             event = connection.next_event()
@@ -161,6 +191,10 @@
             writer.write(message(Answer(400, b'{"error":"the body exceeds 64 KiB"}'), close=True))
             await writer.drain()
             return None
+        except NoMemory:
+            writer.write(message(self.full(), close=True))
+            await writer.drain()
+            return None
         if received is None:
             return None
         request = received.request
@@ -179,6 +213,7 @@
         """The request with a head that is known, whose body begins with what has come."""
         if head.length > MOST_BODY:
             raise TooLarge
+        self._holds(writer, head.length, head.target)
         while len(body) < head.length:
             data = await reader.read(MOST_BODY)
             if not data:
@@ -195,17 +230,19 @@
         if not isinstance(request, h11.Request):
             return None
         body = bytearray()
+        target = request.target.decode("ascii")
         while True:
             event = await self._event(connection, reader, writer)
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MOST_BODY:
                     raise TooLarge
+                self._holds(writer, len(event.data), target)
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
                 return None
-        asked = Request(request.method.decode("ascii"), request.target.decode("ascii"), bytes(body))
+        asked = Request(request.method.decode("ascii"), target, bytes(body))
         return Received(asked, connection.their_state is h11.DONE, connection.trailing_data[0])
 
     async def _answer(self, request: Request) -> Answer:
--- a/ashdock/questions.py
+++ b/ashdock/questions.py
@@ -18,7 +18,6 @@
 
 CALLS_SHARE = 1 / 8  # of our requests to the state service that may go into comparing
 UNDER_WAY = 4  # comparisons, and reads of what differed, at a time
-KNOWN = 20_000  # jobs of which the stamp is remembered
 
 
 class Known(NamedTuple):
@@ -43,9 +42,11 @@
 
 
 class Questions:
-    def __init__(self, state: StateClient, patience_s: float, seen: Any) -> None:
+    def __init__(self, state: StateClient, patience_s: float, seen: Any, most: int) -> None:
+        """`most`: jobs of which the stamp is remembered."""
         self.state = state
         self.patience_s = patience_s
+        self.most_known = most
         self.seen = seen  # told of each record read: (job id, record, stamp)
         self.known: OrderedDict[str, Known] = OrderedDict()
         self.waiting: dict[str, asyncio.Future[Known | None]] = {}  # asked, and not yet being compared
@@ -64,7 +65,7 @@
             self.known.pop(job_id, None)  # final answers are kept elsewhere
             return
         self.known[job_id] = known_of(value, stamp)
-        if len(self.known) > KNOWN:
+        if len(self.known) > self.most_known:
             self.known.popitem(last=False)
 
     def over(self, job_id: str) -> None:
--- a/ashdock/settings.py
+++ b/ashdock/settings.py
@@ -9,6 +9,8 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from ashdock.admission.shares import least_connections
+
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -84,6 +86,11 @@
     list_lag_s: NotNegative
 
 
+# What a start needs, measured by `python -m tests.scale cost`: docs/cost.md.
+START_MB = 32.0  # the interpreter, what is imported, and the records of a small fleet
+START_CORE_S = 0.5  # of a whole core until /ready; it has to be over within a lease
+
+
 class Limits(Struct):
     core_share: Positive = 1.0
     ram_mb: Positive = 256.0
@@ -178,6 +185,25 @@
             _finite(value, source, f"{path}[{index}]")
 
 
+def _check_limits(raw: Any, path: str) -> None:
+    """What a controller may use of its machine has to hold what a start needs. Where the platform leaves it out, the defaults of `Limits` are taken."""
+    shared = raw.get("settings") if isinstance(raw, dict) else None
+    told = shared.get("machine_limits", {}) if isinstance(shared, dict) else {}
+    workers = shared.get("workers") if isinstance(shared, dict) else None
+    lease_s = workers.get("lease_s") if isinstance(workers, dict) else None
+    others = raw.get("others")
+    leasts = {"ram_mb": START_MB, "max_connections": float(least_connections(len(others) if isinstance(others, list) else 0))}
+    if isinstance(lease_s, int | float) and lease_s > 0:
+        leasts["core_share"] = min(START_CORE_S / lease_s, 1.0)
+    for name, least in leasts.items():
+        value = told.get(name) if isinstance(told, dict) else None
+        if value is None:
+            continue
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not number or not value >= least:
+            raise SettingsError(f"{path}: settings.machine_limits.{name}: expected at least {least:g}, found {value!r}")
+
+
 def load(path: str, operators_file: Path = OPERATORS_FILE) -> Settings:
     try:
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
@@ -186,6 +212,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as why:
         raise SettingsError(f"{path}: expected TOML: {why}") from None
     raw.pop("operators", None)
+    _check_limits(raw, path)
     _finite(raw, path)
     settings: Settings = _convert(raw, Settings, path)
     for where, text in (
--- a/tests/cost.py
+++ b/tests/cost.py
@@ -284,12 +284,14 @@
 
 
 START = """
-import resource, sys, time
-began = time.perf_counter(); bare = len(sys.modules); empty = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+import sys, time
+from pathlib import Path
+def kib(): return next(line.split()[1] for line in Path("/proc/self/status").read_text().splitlines() if line.startswith("VmRSS"))
+began = time.perf_counter(); bare = len(sys.modules); empty = kib()
 from ashdock import cli
 import asyncio, gc
 from ashdock.controller import Controller
-print(time.perf_counter() - began, len(sys.modules) - bare, empty, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)
+print(time.perf_counter() - began, len(sys.modules) - bare, empty, kib())
 """
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,15 +8,19 @@
 from typing import Any
 
 import pytest
+from pympler import asizeof
 
 from ashdock.admission.desk import Admission, Short
 from ashdock.admission.door import ConnectionPhase, Door
 from ashdock.admission.processor import Processor, pass_share, pause_s
-from ashdock.admission.shares import Use, shares_of
-from ashdock.front import use_of
+from ashdock.admission.shares import JOB_BYTES, LEAST_BUFFER, MOST_BUFFER, MOST_JOBS, Use, memory_of, shares_of
+from ashdock.front import Final, use_of
 from ashdock.net.http import Answer, Client, NoAnswer, Request, Server
 from ashdock.net.worker import WorkerClient
+from ashdock.questions import Known
 from tests import simtime
+from tests.simtime import spawn
+from tests.test_whole import play
 from tests.whole import Service, job, shared
 
 
@@ -285,3 +289,48 @@
         assert (await Client("10.0.0.0", 8080, keep=0).request("POST", "/v2/runs", raw, 1.0))[0] == 400
 
     simtime.run(main, 42, monkeypatch)
+
+
+# -- memory --------------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("ram_mb", "inbound"), [(32.0, 8), (110.0, 755), (110.0, 1133), (194.0, 1033), (4096.0, 1000), (64.0, 100_000)])
+def test_what_may_grow_has_a_share_of_the_memory(ram_mb: float, inbound: int) -> None:
+    memory = memory_of(ram_mb, inbound)
+    whole = ram_mb * 2**20
+    assert memory.bodies == int(whole / 8) and 0 < memory.jobs * JOB_BYTES <= whole / 8 and memory.jobs <= MOST_JOBS
+    assert LEAST_BUFFER <= memory.buffer <= MOST_BUFFER
+    assert memory.buffer == LEAST_BUFFER or 2 * memory.buffer * inbound <= whole / 8
+
+
+def test_a_job_that_is_remembered_is_no_larger_than_counted() -> None:
+    finals = {f"req-{n:06d}": Final("withdrawn", 100_000, "error on vm-000001; tried again", 1.7e9 + n) for n in range(2000)}
+    known = {f"req-{n:06d}": Known(10**9 + n, "blight-desk", "error on vm-000001; tried again", "sweep", ()) for n in range(2000)}
+    assert asizeof.asizeof(finals) / 2000 < JOB_BYTES and asizeof.asizeof(known) / 2000 < JOB_BYTES
+
+
+def test_bodies_beyond_the_memory_are_told_to_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each user sends the half of a large body and waits: those for whom there is no memory are told so at once, and workers go on."""
+
+    async def day(service: Service) -> None:
+        controller = service.controllers[0]
+        await service.submit(job(1, shares=2))
+        controller.admission.memory = controller.admission.memory._replace(bodies=400_000)
+        said: list[bytes] = []
+
+        async def half() -> None:
+            reader, writer = await asyncio.open_connection("10.0.0.0", 8080)
+            writer.write(b"POST /v2/runs HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" + b"x" * 30_000)
+            said.append(await reader.read())
+
+        calls = [spawn(service.net, "users", half()) for _ in range(40)]
+        await asyncio.sleep(4)
+        assert len(said) == 35 and all(b" 503 " in one and b"retry-after: 1" in one.lower() for one in said)
+        assert controller.admission.bodies == 300_000 and controller.admission.refused["request", Short.MEMORY] == 35
+        assert await service.until_final(["req-000001"], 30) == []
+        await asyncio.gather(*calls, return_exceptions=True)  # ended as too slow
+        assert controller.admission.bodies == 0
+        assert not any(worker.tenure > 1 for worker in service.world.workers.values())
+        assert await service.poll("req-000001", 0) == "done"
+
+    play(monkeypatch, 91, day)
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,180 @@
+"""What things cost, in counts that repeat; bounds a little above what was measured (docs/cost.md), so that they can fail."""
+
+from __future__ import annotations
+
+import asyncio
+import cProfile
+import gc
+import pstats
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from ashdock import garbage
+from ashdock.questions import Questions
+from ashdock.wire import messages
+from tests import cost, scale
+from tests.test_core import commit, part_with, report, spec
+from tests.test_heads import served
+
+
+def calls(act: Callable[[], Any]) -> int:
+    """Function calls that it takes, those of the interpreter's own functions among them; the second time, so that nothing is made up first."""
+    act()
+    profile = cProfile.Profile()
+    profile.enable()
+    act()
+    profile.disable()
+    return int(pstats.Stats(profile).total_calls)  # type: ignore[attr-defined]
+
+
+def busy_part(jobs: int = 30, machines: int = 20) -> Any:
+    """Full machines, and jobs that wait."""
+    part = part_with([spec(number, shares=4) for number in range(1, jobs + 1)], "abc"[:1] * machines)
+    for n in range(machines):
+        part.reports.on_report(report(f"vm-{n}", 1), 1.0, True)
+    part.passes.schedule(1.0)
+    while part.ledger.next_txn() is not None:
+        commit(part, 20)
+    return part
+
+
+def test_a_report_that_says_nothing_new() -> None:
+    part = busy_part()
+    machine = part.machines["vm-0"]
+    tasks = [(f"{p.job}/{p.task}", p.attempt, "running", None) for p in machine.live.values()]
+    assert len(tasks) == 4
+    tally = iter(range(2, 10**6))
+
+    def reports() -> None:
+        for _ in range(100):
+            assert part.reports.on_report(report("vm-0", next(tally), tasks), 2.0, True) == []
+
+    made = calls(lambda: [report("vm-0", 1, tasks) for _ in range(100)])
+    assert (calls(reports) - made) / 100 <= 82  # 75
+    assert part.ledger.next_txn() is None
+
+
+def test_a_request_over_a_kept_connection() -> None:
+    body = b"x" * 400
+    raw = b"POST /checkin HTTP/1.1\r\nHost: 10.0.0.1:8080\r\nContent-Type: application/json\r\nContent-Length: 400\r\n\r\n" + body
+    few, many = (calls(lambda n=n: asyncio.run(served([raw] * n))) for n in (10, 110))  # type: ignore[misc]
+    assert (many - few) / 100 <= 295  # 268, the test's own packets among them; 446 where h11 reads each head
+
+
+def test_a_report_is_decoded_once() -> None:
+    raw = msgspec.json.encode({"berth": "vm-1", "address": "a:1", "hull": "g4", "yard": "a", "loaners": False, "tenure": 1, "tally": 2, "warrant": 3,
+                               "recall_s": None, "shares": [{"share": f"req-000001/{n}", "try": 1, "status": "running"} for n in range(4)]})  # fmt: skip
+    assert calls(lambda: messages.decode_report(raw)) <= 5
+
+
+def test_a_pass_over_what_has_not_changed() -> None:
+    part = busy_part()
+    part.passes.schedule(2.0)
+    waiting = sum(job.spec.tasks - len(job.live) for job in part.jobs.values())
+    assert waiting == 96
+    assert calls(lambda: part.passes.schedule(2.0)) <= 910  # 828, for 30 jobs that all wait and no room
+
+
+def test_a_start() -> None:
+    """Of 24 tasks on 20 machines, as many as the team may use, from the pass until each is durable."""
+
+    def start() -> None:
+        busy_part()
+
+    def idle() -> None:
+        part = part_with([spec(number, shares=4) for number in range(1, 31)], "a" * 20)
+        for n in range(20):
+            part.reports.on_report(report(f"vm-{n}", 1), 1.0, True)
+
+    assert (calls(start) - calls(idle)) / 24 <= 197  # 179
+
+
+def test_a_question() -> None:
+    """Of 48 asked together about jobs that are known: one comparison."""
+
+    class State:
+        most_conditions = 48
+
+        class requests:
+            per_s = 1e6
+
+        compared = 0
+
+        async def txn(self, when: dict[str, int], *_: Any, **__: Any) -> int:
+            self.compared += 1
+            return 1
+
+        check = compare = txn
+
+    state = State()
+
+    async def ask() -> None:
+        questions = Questions(state, 1.5, lambda *_: None, 1000)  # type: ignore[arg-type]
+        for n in range(48):
+            questions.learn(f"req-{n:06d}", {"status": "queued", "spec": {"team": "red", "kind": "array"}}, 5)
+        await asyncio.gather(*(questions.ask(f"req-{n:06d}") for n in range(48)))
+
+    counted = calls(lambda: asyncio.run(ask()))
+    assert state.compared == 2 and counted / 48 <= 150  # 136, with what is learnt, of which the loop's own are most
+
+
+def test_what_a_start_imports() -> None:
+    start = cost.start_cost(1)
+    assert start["modules"] <= 270, start
+    assert start["imported_kib"] < 32 * 1024
+    assert not {"prometheus_client", "hcl2", "ashdock.net.user", "ashdock.net.metrics"} & set(_imported())
+
+
+def _imported() -> list[str]:
+    import subprocess
+
+    words = "import sys; from ashdock import cli; import ashdock.controller, ashdock.garbage; print(*sys.modules)"
+    return subprocess.run([sys.executable, "-c", words], cwd=cost.ROOT, capture_output=True, text=True, check=True).stdout.split()
+
+
+def test_garbage_is_left_alone_while_a_controller_starts() -> None:
+    before, enabled = gc.get_threshold(), gc.isenabled()
+    ready = [False]
+    try:
+        garbage.put_off()
+        assert not gc.isenabled()
+
+        async def later() -> None:
+            task = asyncio.create_task(garbage.begin_later(lambda: ready[0], 0.1))
+            await asyncio.sleep(0.05)
+            assert not gc.isenabled()
+            ready[0] = True
+            await task
+
+        asyncio.run(later())
+        assert gc.isenabled() and gc.get_threshold() == (garbage.YOUNG, garbage.OLDER, garbage.OLDER) and gc.get_freeze_count() > 0
+        asyncio.run(garbage.begin_later(lambda: False, 0.01))  # not ready for long: all the same
+    finally:
+        gc.unfreeze()
+        gc.set_threshold(*before)
+        (gc.enable if enabled else gc.disable)()
+
+
+@pytest.mark.parametrize("course", cost.COURSES)
+def test_the_budget_accounts_for_what_was_used(course: str) -> None:
+    shape = cost.SHAPES["small"]._replace(machines=12, lease_s=4.0, kinds=[(name, rate / 4, form) for name, rate, form in cost.SHAPES["small"].kinds])
+    rows = cost.play(shape, course, 1.0, 6.0, scale.simulate, lambda fleet, times, shape: scale.Users(fleet, times, 3, shape), scale.Meter(shape.core))
+    assert len(rows) == (2 if course == "takeover" else 3)
+    for name, row in rows.items():
+        assert row["budget"].known >= 0.9 and row["cores"] > 0, name
+        assert row["budget"].units["reports"] or "owns 0" in name
+        assert "KiB:" in cost.table(name, row, shape.core)
+
+
+@pytest.mark.parametrize("words", [
+    ["--shape", "tall"], ["--course", "quiet"], ["--times", "0"], ["--times", "-1"], ["--seconds", "0"], ["--seconds", "-3"],
+])  # fmt: skip
+def test_what_the_tool_does_not_know(words: list[str], capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sys, "argv", ["scale", "cost", *words])
+    with pytest.raises(SystemExit) as why:
+        scale.main()
+    assert why.value.code == 2 and words[0] in capsys.readouterr().err
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -53,6 +53,12 @@
 list_lag_s = 4.0
 """
 
+
+
+def limits(text: str, named: str | None) -> tuple[str, str, str | None]:
+    return "list_lag_s = 4.0", f"list_lag_s = 4.0\n[settings.machine_limits]\n{text}", named
+
+
 SETTINGS = [  # replaced, by what -> what the one line must name
     ("", "", None), ('label = "n0"', "", "label"), ("report_s = 1.0", "report_s = -1.0", "report_s"),
     ("report_s = 1.0", 'report_s = "x"', "report_s"), ("size = 3", "size = 0", "size"), ('"10.2.0.1:2379"', '"10.2.0.1"', "outside.state"),
@@ -61,6 +67,17 @@
     ("txn_ops = 48", "txn_ops = 48\n[settings.state.next]\nwrite_rps = 56.0", None),
     ("txn_ops = 48", "txn_ops = 48\n[settings.state.next]\ntxn_ops = 1", "state.next.txn_ops"),
     ("txn_ops = 48", 'txn_ops = 48\n[settings.state.next]\nvalue_kb = "2"', "state.next.value_kb"),
+    # What a start needs: the field, and the least that works.
+    *(limits(text, named) for text, named in [
+        ("core_share = 0.324\nram_mb = 110\nmax_connections = 900", None), ("core_share = 0.324", None), ("other = 1", None), ("", None),
+        ("core_share = 0", "core_share: expected at least 0.05, found 0"), ("core_share = -1.0", "core_share: expected at least 0.05"),
+        ("core_share = 0.01", "core_share: expected at least 0.05"), ('core_share = "half"', "core_share: expected at least 0.05, found 'half'"),
+        ("core_share = nan", "core_share: expected at least 0.05"), ("core_share = true", "core_share: expected at least 0.05"),
+        ("ram_mb = 0", "ram_mb: expected at least 32"), ("ram_mb = -5", "ram_mb: expected at least 32"), ("ram_mb = 31.9", "ram_mb: expected at least 32"),
+        ("ram_mb = []", "ram_mb: expected at least 32"), ("max_connections = 0", "max_connections: expected at least 26"),
+        ("max_connections = 25", "max_connections: expected at least 26"), ("max_connections = 26", None), ("max_connections = nan", "max_connections: expected at least 26"),
+        ("max_connections = 900.5", "max_connections"),
+    ]),
 ]  # fmt: skip
 
 
