--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -62,6 +62,10 @@
         Met(2, "slow_links", 50), Met(3, "more_than_room", 1), Met(8, "dies", 1), Met(12, "more_than_room", 1), Met(16, "dies", 1), Met(20, "one_ends", 2),
         Met(24, "cancel_now", 1), Met(30, "more_than_room", 1), Met(34, "dies", 1),
     ],
+    "timers late by seconds at leases, cancellations and fences": [
+        Met(5, "late_timers", 12), Met(8, "cancel_now", 1), Met(8.1, "refused", 5), Met(9, "outage", 15), Met(26, "late_timers", 15), Met(28, "one_ends", 0.3),
+        Met(30, "cancel_now", 1), Met(31, "apart", 12), Met(48, "late_timers", 12), Met(50, "handed_back", 1), Met(51, "cancel_and_hang", 5),
+    ],
     "odd requests": [Met(1, "odd_requests", 58), Met(3, "one_task_jobs", 20), Met(20, "answers_lost", 8), Met(30, "one_ends", 0.3), Met(40, "slow_state", 6)],
 }  # fmt: skip
 
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -109,6 +109,7 @@
     late: bool = False  # the answer to the cancellation's transaction is lost: it is found by a second try
     again: bool = False  # refused once more after the outage, and others are cancelled
     turns: bool = False  # each of the three is refused in turn, for less than a member's lease
+    late_s: float = 0.0  # how late the timers of the owner fire from the refusal on, at most
     kept: bool = False  # whether what was not cancelled has to have gone on untouched
 
 
@@ -135,6 +136,10 @@
     "cancelled by a transaction that was not answered": Course(late=True, outage=3.0),
     "refused again after the outage": Course(again=True),
     "three in turn": Course(turns=True, outage=2.5),
+    "the owner's timers are late by up to a second": Course(late_s=1.0),
+    "the owner's timers are late by up to five seconds": Course(late_s=5.0),
+    "refused cancel_s, late by up to five seconds": Course(confirmed=10.0, outage=CANCEL_S, late_s=5.0),
+    "nobody heard, late by up to five seconds": Course(unheard="both", late_s=5.0),
     "an outage under the bound": Course(outage_s=BOUND_S - 2, kept=True),
 }
 
@@ -176,6 +181,8 @@
         told = await asyncio.gather(*(service.withdraw(f"req-{number:06d}") for number in numbers))
         assert set(told) == {"withdrawn"}
 
+    if course.late_s:
+        service.net.late = {hosts[owner]: course.late_s}
     spawn(service.net, "users", refuse())
     spawn(service.net, "users", cut_workers())
     for n, who in ((confirmer, "confirmer"), (third, "third")):
@@ -190,6 +197,7 @@
     await asyncio.sleep(course.outage_s)
     service.state.down, service.state.refusing = False, set()
     service.net.heal()
+    service.net.late = {}
     if course.again:
         await asyncio.sleep(8)
         service.state.refusing = {hosts[await owned(service)]}
