--- a/tests/meetings.py
+++ b/tests/meetings.py
@@ -260,6 +260,7 @@
     async def main(net: simtime.Net) -> tuple[list[tuple[str, str]], list[str]]:
         service = Service(net, machines=5, capacity=8)
         service.state.applied = service.world.changed_hands
+        service.state.fenced = service.rules.applied
         service.rules.room = service.world.rooms
         await service.start()
         await asyncio.sleep(1)
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -9,6 +9,7 @@
 FORGOTTEN_S = 75.0
 IDLE_S = 90.0  # no job waits so long while a machine that fits has room and its team is under its limit
 BEGIN_S = 240.0  # the largest jobs too begin within it
+UNCONDITIONAL = ("catalog",)  # the same from whoever writes it
 HALF = 0.5  # of a class, a team or a class's largest jobs: less than that served is a failed day
 
 
@@ -136,6 +137,29 @@
         if self.room is not None and self.calm_since is not None:
             self._look_for_idle(now)
 
+    # -- what a transaction names ---------------------------------------------------------------------------
+
+    def applied(self, when: set[str], writes: list[dict[str, Any]]) -> None:
+        """A transaction was carried out, and rests on the stamps of these keys: its own, or one that is late undoes what is newer; and those
+        of whoever may write it, or one that was replaced goes on writing."""
+        for write in writes:
+            path = write.get("set") or write["delete"]
+            root, *rest = path.split("/")
+            names = [] if root in UNCONDITIONAL else [path]
+            if root == "work" and rest[-1] == "job" and path not in when:
+                names = [f"job/{rest[1]}"]  # the two are always written together, so their stamps agree
+            if root == "park" or (root == "work" and rest[-1] != "job"):
+                names.append(f"part/{rest[0]}")
+            if root == "work" and rest[-1] != "job" and "set" in write:
+                names.append(f"job/{rest[1]}")
+            if root == "charter":
+                names.append("leader")
+            if root == "machine" and not any(name == "leader" or name.startswith("part/") for name in when):
+                names.append("leader or a part")
+            for name in names:
+                if name not in when:
+                    self._break("unfenced", f"{path} is written whatever became of {name}")
+
     # -- what waits beside room ----------------------------------------------------------------------------
 
     def _look_for_idle(self, now: float) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -55,6 +55,7 @@
 def commit(part: Part, revision: int) -> dict[str, Any]:
     txn = part.ledger.next_txn()
     assert txn is not None and txn.when[f"part/{part.name}"] == part.stamp
+    assert txn.writes.keys() <= txn.when.keys()  # a late one undoes nothing that is newer
     for mark in txn.marks:
         mark(revision)
     return txn.writes
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -125,6 +125,14 @@
     return act
 
 
+def txn(when: list[str], path: str):  # type: ignore[no-untyped-def]
+    def act(r: Rules) -> None:
+        r.started("req-000001", 0, A, 1)
+        r.applied(set(when), [{"set": path, "value": {}}])
+
+    return act
+
+
 def bad(status: int, stored: bool = False):  # type: ignore[no-untyped-def]
     def act(r: Rules) -> None:
         r.started("req-000001", 0, A, 1)
@@ -163,6 +171,14 @@
     (None, waits([ONE, ONE._replace(place=B)], 101.0, shape="ensemble", same_place=True)), ("idle", waits([ONE, ONE._replace(place=B)], 101.0, shape="ensemble")),
     (None, waits([FREE], 101.0, shape="ensemble", spread=True)), ("idle", waits([FREE, FREE._replace(place=B)], 101.0, shape="ensemble", spread=True)),
     (None, waits([FREE], 101.0, awaits=["req-000001"])), (None, waits([], 101.0)),
+    # What a transaction names.
+    ("unfenced", txn([], "job/req-1")), (None, txn(["job/req-1"], "job/req-1")), (None, txn([], "catalog")), ("unfenced", txn([], "member/n1")),
+    ("unfenced", txn(["work/red/req-1/0", "job/req-1"], "work/red/req-1/0")), ("unfenced", txn(["work/red/req-1/0", "part/red"], "work/red/req-1/0")),
+    ("unfenced", txn(["part/red", "job/req-1"], "work/red/req-1/0")), (None, txn(["work/red/req-1/0", "part/red", "job/req-1"], "work/red/req-1/0")),
+    ("unfenced", txn([], "work/red/req-1/job")), (None, txn(["job/req-1"], "work/red/req-1/job")), (None, txn(["work/red/req-1/job"], "work/red/req-1/job")),
+    ("unfenced", txn(["park/red/0"], "park/red/0")), (None, txn(["park/red/0", "part/red"], "park/red/0")), ("unfenced", txn(["part/red"], "park/red/0")),
+    ("unfenced", txn(["charter/a"], "charter/a")), (None, txn(["charter/a", "leader"], "charter/a")), ("unfenced", txn(["machine/a"], "machine/a")),
+    ("unfenced", txn(["leader"], "machine/a")), (None, txn(["machine/a", "leader"], "machine/a")), (None, txn(["machine/a", "part/red"], "machine/a")),
     # Less than half of a class, a team or a class's largest jobs begins within four minutes.
     (None, begins(200.0, 10.0, 20.0)), ("unserved", begins(250.0, 10.0, 20.0)), ("unserved", begins(10.0, 250.0, 250.0)), (None, begins(10.0, 250.0)),
 ]  # fmt: skip
