--- a/ashdock/admission/door.py
+++ b/ashdock/admission/connections.py
@@ -29,7 +29,7 @@
         self.since = now
 
 
-class Door:
+class Connections:
     """Connections are keys here; whoever holds the sockets ends those it is told to end."""
 
     def __init__(self, shares: Shares, idle_s: float, slow_s: float, quiet_s: float = 0.0) -> None:
--- a/ashdock/admission/desk.py
+++ b/ashdock/admission/control.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from ashdock.admission.door import Door
+from ashdock.admission.connections import Connections
 from ashdock.admission.processor import Processor
 from ashdock.admission.shares import Use, memory_of, shares_of
 from ashdock.fairness.rush import Rush
@@ -67,7 +67,7 @@
         self.turned_away: Counter[str] = Counter()  # submissions told to come back, by team
         self.shares = shares_of(shared.machine_limits.max_connections, peers)
         # A worker that has not reported for two and a half of its periods reports elsewhere, or not at all.
-        self.door = Door(self.shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5 * shared.workers.report_s)
+        self.connections = Connections(self.shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5 * shared.workers.report_s)
         self.memory = memory_of(shared.machine_limits.ram_mb, self.shares.inbound)
         self.bodies = 0  # bytes of what comes in and is answered
         self.processor = Processor(fades_s=shared.workers.report_s / 2)
@@ -101,7 +101,7 @@
         return None
 
     def no_place(self, now: float) -> Refusal:
-        """The answer to whom the door has no place for."""
+        """The answer to whom there is no place for."""
         return self._refuse("connection", Short.SOCKETS, 503, "no connection to spare", 1, now)
 
     def body(self, size: int, use: Use) -> bool:
@@ -133,17 +133,17 @@
             return f"{self.bodies} of {self.memory.bodies} bytes of requests have come in or are being answered"
         if of is Short.WRITES:
             return f"what users submit waits {self.line_s:.2f} s to be written"
-        door, users = self.door, self.door.count(Use.USER)
+        connections, users = self.connections, self.connections.count(Use.USER)
         return (
-            f"{len(door)} of {self.shares.inbound} connections, {users} users' (of {self.shares.users_most()}), "
-            f"{door.count(Use.WORKER)} workers' (of {self.shares.workers_most(users)}); workers' are closed after their answers"
+            f"{len(connections)} of {self.shares.inbound} connections, {users} users' (of {self.shares.users_most()}), "
+            f"{connections.count(Use.WORKER)} workers' (of {self.shares.workers_most(users)}); workers' are closed after their answers"
         )
 
     def tick(self, late_s: float, now: float) -> None:
         """Told by a timer how late it fired."""
         self.processor.ticked(late_s, now)
-        ended = sum(self.door.ended.values())
-        if self.door.short and ended > self.told_ended:
+        ended = sum(self.connections.ended.values())
+        if self.connections.short and ended > self.told_ended:
             self.shortages[Short.SOCKETS].runs_short(now, self.picture)
         self.told_ended = ended
         for shortage in self.shortages.values():
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from typing import Any
 
-from ashdock.admission.desk import Admission
+from ashdock.admission.control import Admission
 from ashdock.admission.shares import Use
 from ashdock.core.bounds import Bounds
 from ashdock.core.job import spec_of_record
@@ -114,7 +114,7 @@
         self.deputy = Deputy(self.workers, self.jobs, lambda job: self.front.is_withdrawn(job), self.word.vouched)
         self.front: Front = Front(self)
         admission = self.admission
-        self.server = Server(self.front.handle, admission.door, use_of, self._no_place, admission, self._no_memory, admission.memory.buffer)
+        self.server = Server(self.front.handle, admission.connections, use_of, self._no_place, admission, self._no_memory, admission.memory.buffer)
         self.background: set[asyncio.Task[Any]] = set()
 
     # -- what the parts of a controller ask of one another ------------------------------------------------
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -10,7 +10,7 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any, NamedTuple, Protocol
 
-from ashdock.admission.desk import Admission, Refusal
+from ashdock.admission.control import Admission, Refusal
 from ashdock.admission.shares import Use
 from ashdock.core.bounds import Bounds
 from ashdock.core.job import fitting, job_record, spec_of_record
--- a/ashdock/net/http.py
+++ b/ashdock/net/http.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from ashdock.admission.door import Door
+from ashdock.admission.connections import Connections
 from ashdock.admission.shares import Use, plain
 from ashdock.net import heads
 
@@ -81,26 +81,26 @@
     return Answer(503, b'{"error":"no connection to spare"}', retry_after=1)
 
 
-def plain_door(most: int, idle_s: float = 60.0, slow_s: float = 10.0) -> Door:
+def plain_connections(most: int, idle_s: float = 60.0, slow_s: float = 10.0) -> Connections:
     """One that tells no callers apart."""
-    return Door(plain(most), idle_s, slow_s)
+    return Connections(plain(most), idle_s, slow_s)
 
 
 class Server:
-    """Serves the connections that its door lets in; what is slow or silent is closed.
+    """Serves the connections that its table of them admits; what is slow or silent is closed.
 
     `use_of` tells by a request's target what a connection is for; `refused` makes the answer to whom there is no place for, `full` to whom there is
     no memory for by `bodies`. A connection's unread bytes are held up to twice `buffer`.
     """
 
     def __init__(
-        self, handler: Handler, door: Door, use_of: Callable[[str], Use] = all_alike, refused: Callable[[], Answer] = no_place,
+        self, handler: Handler, connections: Connections, use_of: Callable[[str], Use] = all_alike, refused: Callable[[], Answer] = no_place,
         bodies: Bodies | None = None, full: Callable[[], Answer] = no_place, buffer: int = MOST_BODY,
     ) -> None:  # fmt: skip
         self.bodies, self.full, self.buffer = bodies, full, buffer
         self.held: dict[asyncio.StreamWriter, int] = {}  # bytes of its request's body
         self.handler = handler
-        self.door = door
+        self.connections = connections
         self.use_of = use_of
         self.refused = refused
         self.open: set[asyncio.StreamWriter] = set()
@@ -121,12 +121,12 @@
 
     async def _sweep(self) -> None:
         while True:
-            await asyncio.sleep(self.door.slow_s / 4)
-            for writer in self.door.overdue(time.monotonic()):
+            await asyncio.sleep(self.connections.slow_s / 4)
+            for writer in self.connections.overdue(time.monotonic()):
                 writer.transport.abort()  # type: ignore[attr-defined]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        arrival = self.door.arrive(writer, time.monotonic())
+        arrival = self.connections.arrive(writer, time.monotonic())
         if not arrival.admitted:
             # Full: say so at once rather than let the connection hang.
             answer = self.refused()
@@ -148,7 +148,7 @@
             self._refuse(writer, str(why))
         finally:
             self._let_go(writer)
-            self.door.left(writer)
+            self.connections.left(writer)
             self.open.discard(writer)
             writer.close()
 
@@ -175,7 +175,7 @@
             if not data and connection.their_state is h11.IDLE:
                 raise EOFError
             connection.receive_data(data)
-            self.door.asks(writer, time.monotonic())
+            self.connections.asks(writer, time.monotonic())
 
     async def _one(self, ahead: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes | None:
         """Answer one request, of which `ahead` came with the one before. What came after it, or None when the connection is over."""
@@ -183,7 +183,7 @@
             ahead = await reader.read(MOST_BODY)
             if not ahead:
                 return None
-            self.door.asks(writer, time.monotonic())
+            self.connections.asks(writer, time.monotonic())
         try:
             known = heads.request_of(ahead)
             received = await (self._by_length(*known, reader, writer) if known else self._by_events(ahead, reader, writer))
@@ -198,13 +198,13 @@
         if received is None:
             return None
         request = received.request
-        if not self.door.told(writer, self.use_of(request.target)):
+        if not self.connections.told(writer, self.use_of(request.target)):
             writer.write(message(self.refused(), close=True))
             await writer.drain()
             return None
         answer = await self._answer(request)
         # Whose connections have outgrown their share is told to close it together with the answer: no request is on its way then.
-        stays = self.door.answered(writer, time.monotonic()) and received.stays
+        stays = self.connections.answered(writer, time.monotonic()) and received.stays
         writer.write(message(answer, close=not stays, body=request.method != "HEAD"))
         await writer.drain()
         return received.ahead if stays else None
@@ -218,7 +218,7 @@
             data = await reader.read(MOST_BODY)
             if not data:
                 raise h11.RemoteProtocolError("the body is cut short")
-            self.door.asks(writer, time.monotonic())
+            self.connections.asks(writer, time.monotonic())
             body += data
         return Received(Request(head.method.decode("ascii"), head.target, body[: head.length]), True, body[head.length :])
 
--- a/ashdock/net/metrics.py
+++ b/ashdock/net/metrics.py
@@ -13,7 +13,7 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
-from ashdock.admission.desk import Admission
+from ashdock.admission.control import Admission
 from ashdock.admission.shares import Use
 from ashdock.core.part import Part
 from ashdock.core.spans import Spans
@@ -151,10 +151,10 @@
                 waits.add_metric([team, name], classes.served.histogram(name), spans.sum_s)
         away = CounterMetricFamily("ashdock_submissions_turned_away", "told to come back, by team", labels=["team"])
         hot = GaugeMetricFamily("ashdock_team_hot", "1 while a team submits more than its share here", labels=["team"])
-        desk = self.house.admission
-        for team in desk.rush.teams:
-            away.add_metric([team], desk.turned_away[team])
-            hot.add_metric([team], float(desk.rush.hot(team)))
+        admission = self.house.admission
+        for team in admission.rush.teams:
+            away.add_metric([team], admission.turned_away[team])
+            hot.add_metric([team], float(admission.rush.hot(team)))
         yield from (share, due, largest, rises, waits, away, hot)
 
     def _recovery(self) -> Iterable[Metric]:
@@ -170,34 +170,34 @@
     def _admission(self) -> Iterable[Metric]:
         """Who has what of what can run short, and who was told to come back."""
         house = self.house
-        desk, door, now = house.admission, house.admission.door, time.monotonic()
-        held = {use: door.count(use) for use in (Use.NEW, Use.USER, Use.PROBE, Use.WORKER)}
+        admission, connections, now = house.admission, house.admission.connections, time.monotonic()
+        held = {use: connections.count(use) for use in (Use.NEW, Use.USER, Use.PROBE, Use.WORKER)}
         held |= {
             Use.MESH: len(house.mesh.links) + sum(peer.writer is not None for peer in house.mesh.peers.values()),
             Use.STATE: house.state.sockets, Use.CLOUD: house.cloud.client.sockets,
             Use.ORDERS: house.worker_client.sockets,
         }  # fmt: skip
-        most = {**desk.shares.certain, Use.USER: desk.shares.users_most(), Use.WORKER: desk.shares.workers_most(held[Use.USER])}
+        most = {**admission.shares.certain, Use.USER: admission.shares.users_most(), Use.WORKER: admission.shares.workers_most(held[Use.USER])}
         sockets = GaugeMetricFamily("ashdock_sockets", "sockets held, by what for", labels=["use"])
         shares = GaugeMetricFamily("ashdock_sockets_share", "how many it may hold at this moment", labels=["use"])
         for use, number in held.items():
             sockets.add_metric([use.value], number)
             shares.add_metric([use.value], most[use])
         ended = CounterMetricFamily("ashdock_connections_ended", "connections that we ended, and why", labels=["use", "why"])
-        for (use, why), number in door.ended.items():
+        for (use, why), number in connections.ended.items():
             ended.add_metric([use.value, why], number)
         refused = CounterMetricFamily("ashdock_refused", "told to come back, and for want of what", labels=["asked", "short_of"])
-        for (asked, of), number in desk.refused.items():
+        for (asked, of), number in admission.refused.items():
             refused.add_metric([asked, of.value], number)
         refused.add_metric(["order", "sockets"], house.worker_client.refused)
         short = GaugeMetricFamily("ashdock_short", "1 while something runs short", labels=["of"])
-        for of, shortage in desk.shortages.items():
+        for of, shortage in admission.shortages.items():
             short.add_metric([of.value], float(shortage.began is not None))
         behind = GaugeMetricFamily("ashdock_writes_behind_seconds", "how long what waits to be written will take", labels=["turn"])
         for turn in Turn:
             behind.add_metric([turn.name.lower()], house.state.writes.behind_s(turn))
         yield from (sockets, shares, ended, refused, short, behind)
-        yield GaugeMetricFamily("ashdock_processor_late_seconds", "how late timers fire, of late", value=desk.processor.late_s(now))
+        yield GaugeMetricFamily("ashdock_processor_late_seconds", "how late timers fire, of late", value=admission.processor.late_s(now))
 
 
 def page(house: Seen) -> bytes:
--- a/tests/cost.py
+++ b/tests/cost.py
@@ -280,7 +280,7 @@
         "of workers": [front.redirected, front.relaying, front.answered], "what others told": [controller.remote_pictures, controller.remote_counts],
         "leader": [controller.leader.strays, controller.leader.listed, controller.leader.released] if controller.leader else [],
     }  # fmt: skip
-    return {name: int(asizeof.asizeof(*rows)) if rows else 0 for name, rows in tables.items()} | {"connections": len(controller.admission.door)}
+    return {name: int(asizeof.asizeof(*rows)) if rows else 0 for name, rows in tables.items()} | {"connections": len(controller.admission.connections)}
 
 
 START = """
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from ashdock.net.http import Answer, Client, NoAnswer, Request, Server, plain_door
+from ashdock.net.http import Answer, Client, NoAnswer, Request, Server, plain_connections
 from tests.rules import On, Room, Rules
 from tests.simtime import CALLER, Net, spawn
 
@@ -49,7 +49,7 @@
         self.applied: Callable[[str, Any], None] | None = None  # called with each path that was written, and its value
 
     async def start(self) -> None:
-        self.server = Server(self.handle, plain_door(1000, 600.0, 600.0))
+        self.server = Server(self.handle, plain_connections(1000, 600.0, 600.0))
         await self.server.start(STATE, 2379)
         asyncio.create_task(self._expire())
 
@@ -229,7 +229,7 @@
     async def run(self) -> None:
         self.renewed = self.now()
         self.up = True
-        await Server(self.handle, plain_door(50, 600.0, 600.0)).start(self.host, 9000)
+        await Server(self.handle, plain_connections(50, 600.0, 600.0)).start(self.host, 9000)
         spawn(self.world.net, self.host, self._lease())
         nodes = list(self.world.nodes)
         at = self.world.rng.randrange(len(nodes))
@@ -481,7 +481,7 @@
         self.born: dict[str, float] = {}
 
     async def start(self) -> None:
-        self.server = Server(self.handle, plain_door(1000, 600.0, 600.0))
+        self.server = Server(self.handle, plain_connections(1000, 600.0, 600.0))
         await self.server.start(CLOUD, 8443)
 
     def changed_hands(self, path: str, value: Any) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,8 +10,8 @@
 import pytest
 from pympler import asizeof
 
-from ashdock.admission.desk import Admission, Short
-from ashdock.admission.door import ConnectionPhase, Door
+from ashdock.admission.connections import ConnectionPhase, Connections
+from ashdock.admission.control import Admission, Short
 from ashdock.admission.processor import Processor, pass_share, pause_s
 from ashdock.admission.shares import JOB_BYTES, LEAST_BUFFER, MOST_BUFFER, MOST_JOBS, Use, memory_of, shares_of
 from ashdock.front import Final, use_of
@@ -36,27 +36,27 @@
     assert shares.users_most() >= 2 and shares.workers_most(10**6) == shares.certain[Use.WORKER]
 
 
-def filled(door: Door, **counts: int) -> dict[Use, list[str]]:
+def filled(connections: Connections, **counts: int) -> dict[Use, list[str]]:
     """So many waiting connections of each use, the first the oldest."""
     out: dict[Use, list[str]] = {}
     for label, number in counts.items():
         use = Use(label)
         for n in range(number):
             key = f"{label}{n}"
-            assert door.arrive(key, n * 0.001).admitted
+            assert connections.arrive(key, n * 0.001).admitted
             if use is not Use.NEW:
-                assert door.told(key, use)
-                door.answered(key, n * 0.001)
+                assert connections.told(key, use)
+                connections.answered(key, n * 0.001)
             out.setdefault(use, []).append(key)
     return out
 
 
-def limited(inbound: int) -> Door:
+def limited(inbound: int) -> Connections:
     """Of so many places 1/4 each for users and workers, 1/16 for those who have not said."""
     shares = shares_of(400, 2)._replace(inbound=inbound)
     for use, ratio in {Use.NEW: 16, Use.USER: 4, Use.WORKER: 4, Use.PROBE: 64}.items():
         shares.certain[use] = max(inbound // ratio, 1)
-    return Door(shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5)
+    return Connections(shares, idle_s=60.0, slow_s=10.0, quiet_s=2.5)
 
 
 KEEPS = [  # (users, workers there already) -> whether a worker's and a user's connection stay open after their answer
@@ -67,40 +67,40 @@
 
 @pytest.mark.parametrize(("users", "workers", "worker_keeps", "user_keeps"), KEEPS)
 def test_workers_give_way_before_users(users: int, workers: int, worker_keeps: bool, user_keeps: bool) -> None:
-    door = limited(100)
-    filled(door, users=users, workers=workers)
-    door.arrive("w", 1.0)
-    assert door.told("w", Use.WORKER) and door.answered("w", 1.0) is worker_keeps
-    door.left("w")
-    door.arrive("u", 1.0)
-    assert door.told("u", Use.USER) and door.answered("u", 1.0) is user_keeps
+    connections = limited(100)
+    filled(connections, users=users, workers=workers)
+    connections.arrive("w", 1.0)
+    assert connections.told("w", Use.WORKER) and connections.answered("w", 1.0) is worker_keeps
+    connections.left("w")
+    connections.arrive("u", 1.0)
+    assert connections.told("u", Use.USER) and connections.answered("u", 1.0) is user_keeps
 
 
 def test_when_all_places_are_taken_the_oldest_idle_worker_goes() -> None:
-    door = limited(100)
-    keys = filled(door, users=20, workers=78)[Use.WORKER]
-    door.asks(keys[0], 2.0)  # the oldest is at it: its report is not thrown away
+    connections = limited(100)
+    keys = filled(connections, users=20, workers=78)[Use.WORKER]
+    connections.asks(keys[0], 2.0)  # the oldest is at it: its report is not thrown away
     for n in range(2):
-        assert door.arrive(f"late{n}", 2.0) == (True, None)
-    assert [door.arrive(f"later{n}", 2.0).instead for n in range(2)] == [keys[1], keys[2]]
-    door.left(keys[1])  # its socket tells its own end afterwards
-    assert len(door) == 100
+        assert connections.arrive(f"late{n}", 2.0) == (True, None)
+    assert [connections.arrive(f"later{n}", 2.0).instead for n in range(2)] == [keys[1], keys[2]]
+    connections.left(keys[1])  # its socket tells its own end afterwards
+    assert len(connections) == 100
     # Nobody is thrown out for one that has not said what it wants once workers are down to what is certain.
-    door = limited(100)
-    filled(door, users=68, workers=25, new=7)
-    assert not door.arrive("more", 2.0).admitted and door.ended[Use.NEW, "refused"] == 1
+    connections = limited(100)
+    filled(connections, users=68, workers=25, new=7)
+    assert not connections.arrive("more", 2.0).admitted and connections.ended[Use.NEW, "refused"] == 1
 
 
 def test_users_are_refused_only_beyond_all_that_workers_can_spare() -> None:
-    door = limited(100)
-    keys = filled(door, users=door.shares.users_most())[Use.USER]
-    door.arrive("one", 1.0)
-    assert not door.told("one", Use.USER)
-    door.left("one")
-    door.left(keys[0])
-    door.arrive("two", 1.0)
-    assert door.told("two", Use.USER)
-    assert not door.told("never came", Use.USER) and not door.answered("never came", 1.0)
+    connections = limited(100)
+    keys = filled(connections, users=connections.shares.users_most())[Use.USER]
+    connections.arrive("one", 1.0)
+    assert not connections.told("one", Use.USER)
+    connections.left("one")
+    connections.left(keys[0])
+    connections.arrive("two", 1.0)
+    assert connections.told("two", Use.USER)
+    assert not connections.told("never came", Use.USER) and not connections.answered("never came", 1.0)
 
 
 OVERDUE = [  # (use, phase, age, places short) -> ended
@@ -114,25 +114,25 @@
 
 @pytest.mark.parametrize(("label", "phase", "age", "short", "ended"), OVERDUE)
 def test_overdue(label: str, phase: ConnectionPhase, age: float, short: bool, ended: bool) -> None:
-    door = limited(100)
-    filled(door, **{label: 1})
+    connections = limited(100)
+    filled(connections, **{label: 1})
     if phase is ConnectionPhase.ASKING:
-        door.asks(f"{label}0", 0.0)
+        connections.asks(f"{label}0", 0.0)
     if short:
-        for n in range(door.shares.workers_most(0)):
-            door.arrive(n, 100.0)
-            door.told(n, Use.WORKER)
-            door.answered(n, 100.0)
-    assert (f"{label}0" in door.overdue(age)) is ended
-    assert (f"{label}0" in door.use) is not ended
+        for n in range(connections.shares.workers_most(0)):
+            connections.arrive(n, 100.0)
+            connections.told(n, Use.WORKER)
+            connections.answered(n, 100.0)
+    assert (f"{label}0" in connections.overdue(age)) is ended
+    assert (f"{label}0" in connections.use) is not ended
 
 
 def test_what_comes_in_drop_by_drop_is_slow_all_the_same() -> None:
-    door = limited(100)
-    door.arrive("drops", 0.0)
+    connections = limited(100)
+    connections.arrive("drops", 0.0)
     for n in range(11):
-        door.asks("drops", float(n))
-    assert door.overdue(10.5) == ["drops"]
+        connections.asks("drops", float(n))
+    assert connections.overdue(10.5) == ["drops"]
 
 
 def test_the_processor_is_as_late_as_its_worst_moment_of_late() -> None:
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ashdock.net import heads
-from ashdock.net.http import Answer, Client, NoAnswer, Request, Server, plain_door
+from ashdock.net.http import Answer, Client, NoAnswer, Request, Server, plain_connections
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
@@ -70,7 +70,7 @@
         return Answer(200, b"{}")
 
     reader, writer = asyncio.StreamReader(), Writer()
-    server = Server(handler, plain_door(4))
+    server = Server(handler, plain_connections(4))
 
     async def come() -> None:
         for part in parts:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 from ashdock import cli
 from ashdock.core.telling import Busy, Owed, Picture, Recalled, Want
-from ashdock.net.http import Answer, Client, Request, Server, plain_door
+from ashdock.net.http import Answer, Client, Request, Server, plain_connections
 from ashdock.settings import SettingsError, load, load_operators
 from ashdock.wire import frames
 from ashdock.wire.frames import Ahead, BadFrame, Beat, Cancelled, Claims, Counts, Hello, Relay, Relayed, Vouch, Yield
@@ -204,7 +204,7 @@
         return Answer(200, b"{}")
 
     async def main(net: simtime.Net) -> bytes:
-        server = Server(handle, plain_door(10, idle_s=20.0, slow_s=5.0))
+        server = Server(handle, plain_connections(10, idle_s=20.0, slow_s=5.0))
         await server.start("10.0.0.1", 80)
         reader, writer = await net.open_connection("10.0.0.1", 80)
         writer.write(sent)
@@ -222,7 +222,7 @@
         return Answer(200, b"{}")
 
     async def main(net: simtime.Net) -> None:
-        server = Server(handle, plain_door(3, idle_s=20.0, slow_s=5.0))
+        server = Server(handle, plain_connections(3, idle_s=20.0, slow_s=5.0))
         await server.start("10.0.0.1", 80)
         silent = [await net.open_connection("10.0.0.1", 80) for _ in range(3)]
         await asyncio.sleep(0.1)
