--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -38,33 +38,59 @@
     return out
 
 
-KNOWN = pytest.StashKey[list[KnownRed]]()
+class Watch:
+    """Holds a run to the file, whether it is one process or several (pytest-xdist)."""
+
+    def __init__(self, config: pytest.Config, known: list[KnownRed]) -> None:
+        self.config = config
+        self.known = known
+        self.ran: set[str] = set()
+        self.missing: list[KnownRed] = []
+
+    def _missing(self, found: set[str]) -> list[KnownRed]:
+        """Those that would have been among what was found, or can't be anywhere."""
+        files = {test.partition("::")[0] for test in found}
+        some = any("::" in word for word in self.config.args)  # single tests were asked for
+        out = []
+        for known in self.known:
+            file = known.test.partition("::")[0]
+            if known.test not in found and (not (Path(self.config.rootpath) / file).exists() or (file in files and not some)):
+                out.append(known)
+        return out
+
+    @pytest.hookimpl(tryfirst=True)  # before anything is left out
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        by_id = {item.nodeid: item for item in items}
+        for known in self.known:
+            if known.test in by_id:
+                # Strict: one that passes fails the run.
+                by_id[known.test].add_marker(pytest.mark.xfail(reason=f"known red: {known.cause} ({known.issue})", strict=True))
+        if not hasattr(self.config, "workerinput"):
+            self.missing = self._missing(set(by_id))
+            if self.missing:
+                raise pytest.UsageError(f"{FILE}: there is no test {self.missing[0].test}")
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        self.ran.add(report.nodeid)
+
+    @pytest.hookimpl(trylast=True)
+    def pytest_sessionfinish(self, session: pytest.Session) -> None:
+        if getattr(self.config.option, "dist", "no") != "no" and not hasattr(self.config, "workerinput"):
+            self.missing = self._missing(self.ran)
+            if self.missing:
+                session.exitstatus = pytest.ExitCode.USAGE_ERROR
+
+    def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
+        for known in self.known:
+            terminalreporter.write_line(f"KNOWN RED {known.test}: {known.cause} ({known.issue})")
+        for known in self.missing:
+            terminalreporter.write_line(f"ERROR: {FILE}: there is no test {known.test}")
 
 
 def pytest_configure(config: pytest.Config) -> None:
     path = Path(config.rootpath) / FILE
     try:
-        config.stash[KNOWN] = parsed(path.read_text(encoding="utf-8")) if path.exists() else []
+        known = parsed(path.read_text(encoding="utf-8")) if path.exists() else []
     except ValueError as why:
         raise pytest.UsageError(str(why)) from None
-
-
-@pytest.hookimpl(tryfirst=True)  # before anything is left out
-def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    by_id = {item.nodeid: item for item in items}
-    files = {item.nodeid.partition("::")[0] for item in items}
-    some = any("::" in word for word in config.args)  # single tests were asked for
-    for known in config.stash[KNOWN]:
-        item = by_id.get(known.test)
-        if item is not None:
-            # Strict: one that passes fails the run.
-            item.add_marker(pytest.mark.xfail(reason=f"known red: {known.cause} ({known.issue})", strict=True))
-            continue
-        file = known.test.partition("::")[0]
-        if not (Path(config.rootpath) / file).exists() or (file in files and not some):
-            raise pytest.UsageError(f"{FILE}: there is no test {known.test}")
-
-
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    for known in config.stash[KNOWN]:
-        terminalreporter.write_line(f"KNOWN RED {known.test}: {known.cause} ({known.issue})")
+    config.pluginmanager.register(Watch(config, known), "known-red")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -58,6 +58,18 @@
         assert f"KNOWN RED {test}: {cause} ({issue})" in result.stdout.str()
 
 
+@pytest.mark.parametrize(("text", "code", "said"), [
+    (RED + "\n" + OTHER, 0, "KNOWN RED test_it.py::test_other"), ("test_it.py::test_red[3] | no such case | #40", 4, "there is no test test_it.py::test_red[3]"),
+    (RED + "\n" + OTHER + "\ntest_it.py::test_good | it passes by now | #40", 1, "XPASS(strict)"),
+])  # fmt: skip
+def test_the_same_in_several_processes(text: str, code: int, said: str, pytester: pytest.Pytester) -> None:
+    pytester.makeconftest(Path(__file__).with_name("conftest.py").read_text())
+    pytester.makepyfile(test_it=TESTS)
+    (pytester.path / "KNOWN-RED.txt").write_text(text)
+    result = pytester.runpytest_subprocess("-p", "no:cacheprovider", "-n", "2")
+    assert result.ret == code and said in result.stdout.str()
+
+
 @pytest.mark.parametrize("asked", ["test_it.py::test_good", "test_it.py", "test_more.py"])
 def test_what_was_not_asked_for_is_not_missed(asked: str, pytester: pytest.Pytester) -> None:
     pytester.makeconftest(Path(__file__).with_name("conftest.py").read_text())
