--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -334,3 +334,27 @@
         assert await service.poll("req-000001", 0) == "done"
 
     play(monkeypatch, 91, day)
+
+
+@pytest.mark.parametrize(("late_s", "asked", "submitted"), [(0.2, 200, 201), (0.6, 429, 201), (1.6, 429, 429), (30.0, 429, 429)])
+def test_what_comes_first_under_a_late_processor(late_s: float, asked: int, submitted: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Reports and cancellations are answered however late it is; questions go first, then submissions, each told when to come back."""
+
+    async def day(service: Service) -> None:
+        await service.submit(job(1, shape="daemon", shares=2))
+        await service.submit(job(2, shape="daemon", shares=1))
+        while not service.rules.on.get(("req-000001", 0)):
+            await asyncio.sleep(0.2)
+        processor = service.controllers[0].admission.processor
+        monkeypatch.setattr(processor, "late_s", lambda now: late_s)
+        got = await service.call("GET", "/v2/runs/req-000001", b"", 2.0, 0)
+        assert got is not None and got[0] == asked
+        service.rules.submitted(job(3))
+        got = await service.call("POST", "/v2/runs", service.body_of(job(3)), 5.0, 0)
+        assert got is not None and got[0] == submitted
+        assert await service.withdraw("req-000001", 0) == "withdrawn"
+        await asyncio.sleep(15)  # more than two leases, and `cancel_s` is not over
+        assert not service.rules.on.get(("req-000001", 0)) and service.rules.on.get(("req-000002", 0))
+        assert all(worker.tenure == 1 for worker in service.world.workers.values())
+
+    play(monkeypatch, 92, day)
