The build compiles the sources: a start no longer does

By the sources' hash, since files that are copied get other times; what was changed after the build is compiled as before.

--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -5,9 +5,14 @@
 import asyncio
 import cProfile
 import gc
+import importlib.util
 import pstats
+import shutil
+import subprocess
 import sys
+import tomllib
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -130,12 +135,23 @@
 
 
 def _imported() -> list[str]:
-    import subprocess
-
     words = "import sys; from ashdock import cli; import ashdock.controller, ashdock.garbage; print(*sys.modules)"
     return subprocess.run([sys.executable, "-c", words], cwd=cost.ROOT, capture_output=True, text=True, check=True).stdout.split()
 
 
+def test_the_build_compiles_what_a_start_imports(tmp_path: Path) -> None:
+    """A platform may let a controller write nothing beside its sources: each start then compiled all of them anew, a third of what it computes.
+    By the source's hash, since files that are copied get other times."""
+    build = tomllib.loads((cost.ROOT / "deploy" / "service.toml").read_text())["build"]
+    shutil.copytree(cost.ROOT / "ashdock", tmp_path / "ashdock", ignore=shutil.ignore_patterns("__pycache__"))
+    subprocess.run(["sh", "-c", build.rpartition("&&")[2]], cwd=tmp_path, check=True)
+    sources = list((tmp_path / "ashdock").rglob("*.py"))
+    assert len(sources) > 60
+    for source in sources:
+        compiled = Path(importlib.util.cache_from_source(str(source)))
+        assert int.from_bytes(compiled.read_bytes()[4:8], "little") == 0b11, source
+
+
 def test_garbage_is_left_alone_while_a_controller_starts() -> None:
     before, enabled = gc.get_threshold(), gc.isenabled()
     ready = [False]
