Backlog of a shard's writes: metrics by kind, one line when a wait is long

In the records of the orphaned incident nothing tells whether an owner knew of a cancellation, or had decided on the outcome and not written it.

Added: ashdock_unwritten_changes and ashdock_unwritten_oldest_seconds by team and kind, ashdock_unread_dependencies; a line when a kind waits for a quarter of cancel_s and one when that is over; how long the outcome of a job cancelled with its dependency waited; what a new owner loaded; what a read of dependencies said; at debug each transaction with its token and each status with the revision that was checked. Two lines at most per shard and kind and wait; nothing per task.

--- a/ashdock/core/shard.py
+++ b/ashdock/core/shard.py
@@ -31,6 +31,7 @@
 from ashdock.core.task import Placement, PlacementPhase, TaskState
 from ashdock.core.task_commands import TaskCommands
 from ashdock.core.task_failures import FailureHandler
+from ashdock.core.write_backlog import WriteBacklog
 from ashdock.core.write_limits import WriteLimits
 from ashdock.fairness.classes import Classes
 from ashdock.settings import Operators, Shared, Team
@@ -108,6 +109,7 @@
         self.scheduled_revision = revision
         self.urgent_machines: dict[str, None] = {}
         self.writer = ShardWriter(self)
+        self.write_backlog = WriteBacklog(team.name, shared.workers.cancel_s)
         self.cancelled_jobs: dict[str, Job] = {}
         self.inherited_machines = 0
         self.recovered_at = -math.inf
--- a/ashdock/core/shard_maintenance.py
+++ b/ashdock/core/shard_maintenance.py
@@ -9,6 +9,8 @@
 from ashdock.core.job import Job
 from ashdock.core.machine import Machine, MachinePhase
 from ashdock.core.park import Parks
+from ashdock.core.shard_writer import ShardWriter
+from ashdock.core.write_backlog import WriteBacklog
 from ashdock.settings import Shared, Workers
 
 CHECKS_PER_HEARTBEAT_INTERVAL = 4  # checks of machines and cancelled jobs
@@ -30,6 +32,8 @@
     parks: Parks
     dependency_tracker: DependencyTracker
     cancelled_jobs: dict[str, Job]
+    writer: ShardWriter
+    write_backlog: WriteBacklog
     inherited_machines: int
     recovered_at: float
     needs_scheduling: bool
@@ -75,6 +79,7 @@
         self.checked_at = now
         self._check_machines(now)
         self._check_cancelled_jobs(now)
+        shard.write_backlog.update(shard.writer.unwritten_jobs(), now)
 
     @property
     def silent_s(self) -> float:
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -10,7 +10,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import islice
 from typing import Any, NamedTuple, Protocol
@@ -159,6 +159,14 @@
         self.changed_machines: dict[str, None] = {}
         self.obsolete_keys: list[StoredKey] = []
 
+    def unwritten_jobs(self) -> Iterator[Job]:
+        """Iterate over the jobs with something that can be written now."""
+        return (
+            job
+            for job in self.changed_jobs.values()
+            if job.id in self.shard.jobs and self._has_unwritten(job)
+        )
+
     # -- building a transaction ------------------------------------------------------------------
 
     def next_transaction(
@@ -519,6 +527,12 @@
         done = job.phase is JobPhase.OVER
         if done:
             log.info("job done: job=%s", job.id)
+        elif job.phase is JobPhase.ORPHANED and job.cancelled_at is not None:
+            log.info(
+                "cancellation with a dependency written: job=%s waited_s=%.1f",
+                job.id,
+                self.shard.current_time - job.cancelled_at,
+            )
         job.phase = JobPhase.FINAL
         for placement in list(job.live.values()):
             self.shard.drop_placement(placement, placement.placed_at)
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -433,6 +433,7 @@
             return Response(200, self._final_body(job_id, final))
         if known is None:
             return error_response(404, "no such job")
+        log.debug("status answered: job=%s checked_revision=%d", job_id, known.revision)
         return Response(200, self._unfinished_body(job_id, known))
 
     async def withdraw(self, job_id: str) -> Response:
--- a/ashdock/net/metrics.py
+++ b/ashdock/net/metrics.py
@@ -194,11 +194,38 @@
                 [team, "parked"], sum(park.high - park.low + 1 for park in shard.parks.items)
             )
         yield from (jobs, tasks, machines, tokens)
+        yield from self._unwritten_changes()
         yield from self._admission()
         yield from self._timelines()
         yield from self._fairness()
         yield from self._leadership()
 
+    def _unwritten_changes(self) -> Iterable[Metric]:
+        """Return what waits to be written, and which dependencies are not known yet."""
+        waiting = GaugeMetricFamily(
+            "ashdock_unwritten_changes",
+            "jobs of the shards owned here whose next write waits, by what it is for",
+            labels=["team", "kind"],
+        )
+        oldest = GaugeMetricFamily(
+            "ashdock_unwritten_oldest_seconds",
+            "how long the oldest of them has waited",
+            labels=["team", "kind"],
+        )
+        unread = GaugeMetricFamily(
+            "ashdock_unread_dependencies",
+            "dependencies of jobs of the shards owned here whose records are still to be read",
+            labels=["team"],
+        )
+        for team, owner in self.context.owners.items():
+            if owner.shard is None:
+                continue
+            unread.add_metric([team], len(owner.shard.dependency_tracker.unread))
+            for kind, backlog in owner.shard.write_backlog.by_kind.items():
+                waiting.add_metric([team, kind.value], backlog.waiting)
+                oldest.add_metric([team, kind.value], backlog.oldest_s)
+        yield from (waiting, oldest, unread)
+
     def _leadership(self) -> Iterable[Metric]:
         elector, term_fence = self.context.elector, self.context.term_fence
         state = GaugeMetricFamily(
--- a/ashdock/shard_owner.py
+++ b/ashdock/shard_owner.py
@@ -27,7 +27,7 @@
 from ashdock.net.worker import WorkerClient
 from ashdock.settings import Operators, Shared, Team, Workers
 from ashdock.timelines import FailoverTimeline
-from ashdock.wire.messages import Heartbeat, HeartbeatResponse, MachineType
+from ashdock.wire.messages import Heartbeat, HeartbeatResponse, JobStatus, MachineType
 
 log = logging.getLogger("ashdock.shard_owner")
 
@@ -216,12 +216,16 @@
         self.buffered_changes.clear()
         self.ready.set()
         log.info(
-            "shard claimed and loaded: shard=%s token=%d jobs=%d machines=%d parks=%d",
+            "shard claimed and loaded: shard=%s token=%d jobs=%d machines=%d parks=%d "
+            "cancelled=%d waiting=%d unread_dependencies=%d",
             self.team.name,
             shard.revision,
             len(shard.jobs),
             len(shard.machines),
             len(shard.parks.items),
+            len(shard.cancelled_jobs),
+            len(shard.dependency_tracker.graph.waiting),
+            len(shard.dependency_tracker.unread),
         )
 
     def release(self, reason: str) -> None:
@@ -437,6 +441,14 @@
                 outcomes = await asyncio.gather(*map(known_jobs.outcome, job_ids))
             except StoreUnavailableError:
                 return
+            log.info(
+                "dependencies read: shard=%s outcomes=%s",
+                shard.name,
+                ",".join(
+                    f"{job_id}:{outcome[0] if outcome else JobStatus.QUEUED}"
+                    for job_id, outcome in zip(job_ids, outcomes, strict=True)
+                ),
+            )
             for job_id, outcome in zip(job_ids, outcomes, strict=True):
                 unread.pop(job_id, None)
                 if outcome is not None:
@@ -501,6 +513,14 @@
         for callback in transaction.on_commit:
             callback(revision)
         self._update_caches(transaction.writes, revision)
+        log.debug(
+            "transaction committed: shard=%s token=%d revision=%d writes=%d urgent=%s",
+            shard.name,
+            shard.revision,
+            revision,
+            len(transaction.writes),
+            transaction.urgent,
+        )
         if shard.tasks_placed:
             self.failover_timeline.placement_committed(self.context.now())
         # Sends run commands after each transaction, not only after the last one.
