Test, failing: jobs cancelled with a dependency wait behind all other writes

An owner that has more to write than the store takes, a chain of three jobs after a cancelled one, eight times; seven ways in: accepted before, during and after the cancellation, dependencies in another shard, owner replaced while outcomes wait, store slow, store refusing.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -99,7 +99,12 @@
     """
 
     def __init__(
-        self, net: Network, machines: int = 4, capacity: int = 8, later: NextLimits | None = None
+        self,
+        net: Network,
+        machines: int = 4,
+        capacity: int = 8,
+        later: NextLimits | None = None,
+        write_rps: float | None = None,
     ) -> None:
         """Create a cluster that is not started yet.
 
@@ -108,13 +113,17 @@
             machines: How many machines are rented from the start.
             capacity: The most machines that may be rented at once.
             later: The smaller limits of the store that the settings announce.
+            write_rps: Puts and deletes per second that the store accepts, as the settings say; None
+                for those of `shared` and a store that accepts any number.
         """
         self.net = net
         self.next_limits = later
         self.rng = random.Random(net.rng.random())
         limits = {team.name: team.gpus_max for team in TEAMS}
         self.invariants = InvariantChecker(shared().workers.cancel_s, limits)
+        self.write_rps = write_rps
         self.store = FakeStore(net)
+        self.store.write_rps = write_rps
         nodes = {f"n{n}": f"10.0.0.{n}" for n in range(3)}
         self.cloud = FakeCloud(net, self.invariants, nodes, ZONES, capacity, 6.0, 1.0)
         self.machines = machines
@@ -150,6 +159,8 @@
         """Start controller n."""
         own_settings = settings(n, self.next_limits)
         own_settings.settings.machine_limits.max_connections = self.max_connections
+        if self.write_rps is not None:
+            own_settings.settings.state.write_rps = self.write_rps
         controller = Controller(own_settings, random.Random(self.rng.random()))
         self.controllers[n] = controller
         spawn(self.net, f"10.0.0.{n}", controller.run())
--- /dev/null
+++ b/tests/test_cancellation_deadlines.py
@@ -0,0 +1,134 @@
+"""Jobs that need a cancelled job are cancelled in time while the owner has too much to write."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from tests import test_cluster
+from tests.cluster import Service, job, shared
+from tests.virtual_time import spawn
+
+WRITE_RPS = 30.0  # puts and deletes that the store accepts per second
+BACKLOG_S = 25.0  # for which more is submitted than can be written before anything is cancelled
+SUBMITTERS = 12
+PIPELINES = 8
+FIRST_FILLER = 100_000  # number of the first job that only causes writes
+OWNER_TEAM = "red"
+
+Fault = Callable[[Service], Awaitable[None]]
+
+
+def small_job(number: int, **more: Any) -> dict[str, Any]:
+    """A job of one task that fits on any machine beside many others."""
+    return job(number, shares=1, cpus=0.05, accelerators=0.0, ram_gb=0.05, **more)
+
+
+async def submit_without_end(service: Service, numbers: itertools.count[int]) -> None:
+    """Submit short jobs one after another, so that their starts and ends have to be written."""
+    while True:
+        await service.submit(small_job(next(numbers), owner=OWNER_TEAM, expect_s=2.0))
+
+
+def pipeline(first: int, teams: list[str]) -> list[dict[str, Any]]:
+    """A job that runs for long, and jobs that need one another, one of each team."""
+    runs = [small_job(first, owner=OWNER_TEAM, expect_s=600.0, spans={0: 600.0})]
+    for number, team in enumerate(teams, first + 1):
+        runs.append(small_job(number, owner=team, awaits=[runs[-1]["id"]]))
+    return runs
+
+
+def owner_of(service: Service, team: str) -> int:
+    """Return the number of the controller that owns a team's shard."""
+    return next(n for n, controller in service.controllers.items() if team in controller.owners)
+
+
+async def no_fault(service: Service) -> None:
+    """Nothing happens."""
+
+
+async def owner_replaced(service: Service) -> None:
+    """The owner crashes while outcomes wait, and stays away until another one took over."""
+    await asyncio.sleep(1)
+    service.crash(owner_of(service, OWNER_TEAM), 8.0)
+
+
+async def store_slow(service: Service) -> None:
+    """Each request takes a second for a third of the time that a cancellation has."""
+    service.store.extra_delay_s = 1.0
+    await asyncio.sleep(7)
+    service.store.extra_delay_s = 0.0
+
+
+async def store_refuses(service: Service) -> None:
+    """The store accepts a third of the writes for a third of the time that a cancellation has."""
+    service.store.write_rps = WRITE_RPS / 3
+    await asyncio.sleep(7)
+    service.store.write_rps = WRITE_RPS
+
+
+async def check_cancelled_in_time(
+    service: Service, fault: Fault, teams: list[str], submitted: str
+) -> None:
+    """Cancel pipelines of a saturated owner, and check when the jobs after the first end.
+
+    Args:
+        service: The cluster.
+        fault: What happens right after the cancellations.
+        teams: Team of each job after the first one.
+        submitted: Whether the jobs after the first one are submitted "after", "during" or "before"
+            the cancellation, as seen from them: they wait, race or come too late.
+    """
+    numbers = itertools.count(FIRST_FILLER)
+    for _ in range(SUBMITTERS):
+        spawn(service.net, "users", submit_without_end(service, numbers))
+    pipelines = [pipeline(10 * n, teams) for n in range(1, PIPELINES + 1)]
+
+    async def submit_in_order(runs: list[dict[str, Any]]) -> None:
+        for run in runs:
+            assert await service.submit(run) in (200, 201)
+
+    split = len(teams) + 1 if submitted == "after" else 1
+    await asyncio.gather(*(submit_in_order(runs[:split]) for runs in pipelines))
+    await asyncio.sleep(BACKLOG_S)
+    cancellations = [service.cancel(runs[0]["id"]) for runs in pipelines]
+    submissions = [submit_in_order(runs[split:]) for runs in pipelines]
+    if submitted == "during":
+        await asyncio.gather(*cancellations, *submissions)
+    else:
+        await asyncio.gather(*cancellations)
+        await asyncio.gather(*submissions)
+    spawn(service.net, "users", fault(service))
+    dependents = [run["id"] for runs in pipelines for run in runs[1:]]
+    # The invariants report each one that is still queued after that time.
+    late = await service.until_final(dependents, shared().workers.cancel_s + 5)
+    assert late == []
+    assert {service.invariants.final_states[name] for name in dependents} == {"withdrawn"}
+
+
+THREE_LEVELS = [OWNER_TEAM] * 3
+CASES = {
+    "accepted_before_the_cancellation": (no_fault, THREE_LEVELS, "after"),
+    "accepted_during_the_cancellation": (no_fault, THREE_LEVELS, "during"),
+    "accepted_after_the_cancellation": (no_fault, THREE_LEVELS, "before"),
+    "dependencies_in_another_shard": (no_fault, ["blue", OWNER_TEAM, "blue"], "after"),
+    "owner_replaced_while_outcomes_wait": (owner_replaced, THREE_LEVELS, "after"),
+    "store_slow": (store_slow, THREE_LEVELS, "after"),
+    "store_refuses_most_writes": (store_refuses, THREE_LEVELS, "after"),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_jobs_cancelled_with_a_dependency_do_not_wait_behind_other_writes(
+    case: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fault, teams, submitted = CASES[case]
+
+    async def scenario(service: Service) -> None:
+        await check_cancelled_in_time(service, fault, teams, submitted)
+
+    test_cluster.run_scenario(monkeypatch, 54, scenario, settle=4.0, write_rps=WRITE_RPS)
