Shard writer: outcomes of jobs cancelled with a dependency go first, by their deadline

Cause: an owner's unwritten changes stood in one line, in the order in which jobs first changed. Outcomes that users were promised within cancel_s waited there behind run commands, which nobody was promised by a time. Where the store took less than there was to write the line grew past cancel_s. And the time began anew wherever the outcome passed on: at each job in another shard, at a new owner, and at a job accepted while the outcome of the one that it needs was not written.

Change: these outcomes go first, the earliest cancellation first, in up to three quarters of a transaction beside machines; a share not used goes to the others. cancelled_at of such a job is the time at which its user was told (before: when its owner learnt of it), or its acceptance if that is later; it is passed on with the record. After a quarter of cancel_s transactions go as users' requests.

--- a/ashdock/cancellation/broadcaster.py
+++ b/ashdock/cancellation/broadcaster.py
@@ -33,7 +33,7 @@
         """Stop the job's tasks if its shard is owned here."""
         ...
 
-    def job_settled(self, job_id: str, status: str, done_at: float | None) -> None:
+    def job_settled(self, job_id: str, status: str, ended_at: float | None) -> None:
         """Notify the shards owned here whose jobs depend on this job that it is final."""
         ...
 
@@ -90,7 +90,7 @@
         for job_id, team, revision, at in cancelled.jobs:
             if listener.front.cancellation_received(job_id, team, revision, at):
                 listener.job_cancelled(job_id, team, revision, at)
-                listener.job_settled(job_id, "withdrawn", None)
+                listener.job_settled(job_id, "withdrawn", at)
 
     def send_echoes(self, now: float) -> None:
         """Send each peer a new number and echo its last one; called with each peer heartbeat.
--- a/ashdock/core/dependency_tracker.py
+++ b/ashdock/core/dependency_tracker.py
@@ -66,7 +66,7 @@
         """Take in that a job of this shard is durably cancelled, and cancel its dependents."""
         job.awaits_dependencies = False
         self.graph.drop(job.id)
-        self.settled(job.id, JobStatus.WITHDRAWN, None, now)
+        self.settled(job.id, JobStatus.WITHDRAWN, job.cancelled_at, now)
         self._apply_inherited()
 
     def _estimated_duration_s(self, spec: JobSpec) -> float:
@@ -90,8 +90,8 @@
             job = self.shard.jobs.get(dependency)
             if job is None:
                 self.unread[dependency] = None
-            elif job.phase is JobPhase.CANCELLED:
-                self.settled(dependency, JobStatus.WITHDRAWN, None, now)
+            elif job.phase in (JobPhase.CANCELLED, JobPhase.ORPHANED):
+                self.settled(dependency, JobStatus.WITHDRAWN, job.cancelled_at, now)
 
     def settled(self, dependency: str, status: str, at: float | None, now: float) -> None:
         """Release or cancel the dependents of a job whose outcome is durable.
@@ -99,7 +99,8 @@
         Args:
             dependency: Id of the job, of any shard; unknown ones are ignored.
             status: Its final status. Any other than `JobStatus.DONE` cancels the dependents.
-            at: When it was done, in seconds since the epoch; None if that is not known.
+            at: When it was done, or when the cancellation from which its own follows was confirmed
+                to a user, in seconds since the epoch; None if that is not known.
             now: Seconds since the epoch.
         """
         self.unread.pop(dependency, None)
@@ -117,7 +118,10 @@
                 log.info(
                     "job cancelled with its dependency: job=%s dependency=%s", job_id, dependency
                 )
-                self.shard.jobs[job_id].orphan(dependency, now)
+                job = self.shard.jobs[job_id]
+                # The deadline of `cancel_s` counts from that confirmation, or from the acceptance
+                # of a job that came later, whichever owner and shard the outcome passes through.
+                job.orphan(dependency, now if at is None else max(at, job.submitted_at))
         self._apply_inherited()
 
     def receive_inheritance(self, shard: str, rows: Iterable[tuple[str, int, float]]) -> None:
--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -116,7 +116,8 @@
         reason: What users are told about its state.
         reason_generation: Number of changes of `reason`.
         durable_reason_generation: The `reason_generation` that was last stored.
-        cancelled_at: Time of its cancellation, or when this owner learnt of that of a dependency.
+        cancelled_at: When its cancellation was confirmed, or that of a job it needs, directly or
+            through others; not before it was submitted.
         gang_stop_reason: Why the present attempt of a gang is being stopped; None if it is not.
         gang_failure: A task's own failure in the present attempt of a gang.
         avoided_machines: By machine where it failed, the time until which it is placed elsewhere if
@@ -286,7 +287,12 @@
         self.mark_changed()
 
     def orphan(self, dependency: str, at: float) -> None:
-        """Cancel the job because a dependency is cancelled, so that this outcome is written."""
+        """Cancel the job because a dependency is cancelled, so that this outcome is written.
+
+        Args:
+            dependency: Id of the cancelled job.
+            at: See `cancelled_at`.
+        """
         self.phase = JobPhase.ORPHANED
         self.awaits_dependencies = False
         self.cancelled_at = at
@@ -588,6 +594,17 @@
     return record
 
 
+def ended_at_of(record: dict[str, Any]) -> float | None:
+    """Return when a job was done or cancelled, in seconds since the epoch.
+
+    None if its record does not say so, or if it has not ended.
+    """
+    ended_at: float | None = record.get(
+        "cancelled_at" if record["status"] == JobStatus.WITHDRAWN else "done_at"
+    )
+    return ended_at
+
+
 def spec_of_record(record: dict[str, Any]) -> JobSpec:
     """Return the submission of a record that was read from the store or just built."""
     spec = record["spec"]
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -34,6 +34,11 @@
 # If writes are scarce, a transaction with urgent changes has at most 1/4 of its writes for
 # deferrable ones.
 DEFERRED_OPS_DIVISOR = 4
+# Share of a transaction's writes that the outcomes of jobs cancelled with a dependency may take while
+# other changes wait. Users were promised these outcomes within `cancel_s`; the rest is for all else.
+DEPENDENCY_CANCELLATION_SHARE = 0.75
+# Share of `cancel_s` after which such an outcome is written with the priority of a user's request.
+OVERDUE_SHARE = 0.25
 MIN_OPS = 4  # writes allowed in a transaction, however low the write rate
 
 # A transaction is one request body, and the store refuses bodies of 64 KiB.
@@ -64,6 +69,7 @@
         max_ops: Maximum number of writes.
         size_bytes: Approximate size.
         urgent: Whether a run command, an outcome or a change of a machine waits for it.
+        overdue: Whether it has an outcome of which a user was told a considerable time ago.
     """
 
     def __init__(self, max_ops: int) -> None:
@@ -74,6 +80,7 @@
         self.max_ops = max_ops
         self.size_bytes = TRANSACTION_ENVELOPE_BYTES
         self.urgent = False
+        self.overdue = False
 
     def has_room(self, ops: int, size_bytes: int) -> bool:
         """Whether more writes fit.
@@ -191,16 +198,18 @@
             transaction.max_ops -= max(
                 1, min(max_ops // MACHINE_OPS_DIVISOR, len(self.changed_machines))
             )
+        cancelled = self._add_dependency_cancellations(transaction)
         deferred = self._add_urgent_jobs(transaction)
         self._add_parks(transaction)
         transaction.max_ops = max_ops
         self._add_machines(transaction)
+        self._add_jobs(transaction, cancelled)
         if transaction.urgent and scarce:
             # Deferrable changes are better written once, later, than with each urgent transaction.
             transaction.max_ops = min(
                 max_ops, len(transaction.writes) + max_ops // DEFERRED_OPS_DIVISOR
             )
-        self._add_deferred_jobs(transaction, deferred)
+        self._add_jobs(transaction, deferred)
         self._add_deletions(transaction)
         if not transaction.writes:
             return None
@@ -219,8 +228,36 @@
         equal_share = limits.write_rps / self.shard.shared.size
         return max(MIN_OPS, min(limits.ops, int(min(equal_share, writes_per_s))))
 
+    def _add_dependency_cancellations(self, transaction: Transaction) -> list[Job]:
+        """Add outcomes of jobs that were cancelled with a dependency, within their share.
+
+        They are due within `cancel_s` of the cancellation, so the one that was cancelled first goes
+        first, however long other changes have waited.
+
+        Returns:
+            Those that did not fit into the share.
+        """
+        cancelled = sorted(
+            (job for job in self.changed_jobs.values() if job.phase is JobPhase.ORPHANED),
+            key=self._cancelled_at,
+        )
+        if not cancelled:
+            return []
+        waited_s = self.shard.current_time - self._cancelled_at(cancelled[0])
+        transaction.urgent = True
+        transaction.overdue = waited_s > OVERDUE_SHARE * self.shard.shared.workers.cancel_s
+        max_ops = transaction.max_ops
+        transaction.max_ops = max(JOB_RECORD_OPS, int(DEPENDENCY_CANCELLATION_SHARE * max_ops))
+        remaining = self._add_jobs(transaction, cancelled)
+        transaction.max_ops = max_ops
+        return remaining
+
+    @staticmethod
+    def _cancelled_at(job: Job) -> float:
+        return job.submitted_at if job.cancelled_at is None else job.cancelled_at
+
     def _add_urgent_jobs(self, transaction: Transaction) -> list[Job]:
-        """Add the jobs for which a run command or an outcome waits.
+        """Add the jobs for which a run command or another outcome waits.
 
         Returns:
             The changed jobs that can be written later.
@@ -229,6 +266,8 @@
         for job in list(self.changed_jobs.values()):
             if job.id not in self.shard.jobs or not self._has_unwritten(job):
                 del self.changed_jobs[job.id]
+            elif job.phase is JobPhase.ORPHANED:
+                continue
             elif job.is_urgent and not self._is_bulk(job):
                 transaction.urgent = True
                 if not self._write_job(job, transaction):
@@ -265,10 +304,12 @@
                 # so the command to forget them does not wait for a heartbeat.
                 self.shard.urgent_machines[machine.name] = None
 
-    def _add_deferred_jobs(self, transaction: Transaction, deferred: list[Job]) -> None:
-        for job in deferred:
+    def _add_jobs(self, transaction: Transaction, jobs: list[Job]) -> list[Job]:
+        """Add jobs in this order until one does not fit; return it and those after it."""
+        for number, job in enumerate(jobs):
             if not self._write_job(job, transaction):
-                return
+                return jobs[number:]
+        return []
 
     def _add_deletions(self, transaction: Transaction) -> None:
         while self.obsolete_keys and transaction.has_room(1, KEY_BYTES):
@@ -531,7 +572,7 @@
             log.info(
                 "cancellation with a dependency written: job=%s waited_s=%.1f",
                 job.id,
-                self.shard.current_time - job.cancelled_at,
+                max(0.0, self.shard.current_time - job.cancelled_at),
             )
         job.phase = JobPhase.FINAL
         for placement in list(job.live.values()):
@@ -541,7 +582,7 @@
         self.shard.dependency_tracker.settled(
             job.id,
             JobStatus.DONE if done else JobStatus.WITHDRAWN,
-            job.ended_at,
+            job.ended_at if done else job.cancelled_at,
             self.shard.current_time,
         )
 
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -13,7 +13,7 @@
 from ashdock.admission.control import Admission, Refusal
 from ashdock.admission.shares import SocketUse
 from ashdock.cancellation.orphan_leases import OrphanLeaseRenewer
-from ashdock.core.job import fit_job_record, job_record, spec_of_record
+from ashdock.core.job import ended_at_of, fit_job_record, job_record, spec_of_record
 from ashdock.core.machine import capacity
 from ashdock.core.quota import limit_permits_job
 from ashdock.core.write_limits import WriteLimits
@@ -51,13 +51,14 @@
         status: done or cancelled, a `JobStatus`.
         tasks: number of its tasks; 0 if a peer reported the cancellation.
         reason: as last recorded, for its user.
-        done_at: when it was done, in seconds since the epoch; None if that is not recorded.
+        ended_at: when it was done or cancelled, in seconds since the epoch; None if that is not
+            recorded.
     """
 
     status: str
     tasks: int
     reason: str | None
-    done_at: float | None
+    ended_at: float | None
 
 
 def error_response(status: int, message: str, retry_after: int | None = None) -> Response:
@@ -530,7 +531,7 @@
             was_final = job_id in self.final_states
             self._cache_final(
                 job_id,
-                FinalState(value["status"], tasks, value.get("reason"), value.get("done_at")),
+                FinalState(value["status"], tasks, value.get("reason"), ended_at_of(value)),
             )
             if value["status"] == JobStatus.WITHDRAWN and not was_final:
                 self.context.broadcast_cancellation(
@@ -546,7 +547,7 @@
         if job_id in self.final_states:
             return False
         self.status_reader.forget(job_id)
-        self._cache_final(job_id, FinalState(JobStatus.WITHDRAWN, 0, None, None))
+        self._cache_final(job_id, FinalState(JobStatus.WITHDRAWN, 0, None, at))
         self.context.broadcast_cancellation(job_id, team, revision, at)
         return True
 
@@ -577,7 +578,7 @@
             if entry is not None:
                 self.observe_job(job_id, entry.value, entry.revision)
             final = self.final_states.get(job_id)
-        return (final.status, final.done_at) if final else None
+        return (final.status, final.ended_at) if final else None
 
     def _final_body(self, job_id: str, final: FinalState) -> bytes:
         return messages.status_response_body(
--- a/ashdock/shard_owner.py
+++ b/ashdock/shard_owner.py
@@ -55,7 +55,7 @@
         ...
 
     async def outcome(self, job_id: str) -> tuple[str, float | None] | None:
-        """Return the final status of a job and when it was done; None while it has not ended.
+        """Return the final status of a job and when it ended; None while it has not ended.
 
         Raises:
             StoreUnavailableError: The job record has to be read and the store does not answer.
@@ -494,9 +494,7 @@
                 revision = await self.context.store.txn(
                     transaction.conditions,
                     transaction.writes,
-                    priority=RequestPriority.NORMAL
-                    if transaction.urgent
-                    else RequestPriority.BACKGROUND,
+                    priority=self._priority_of(transaction),
                     team=shard.name,
                 )
             except CompareFailedError as error:
@@ -509,6 +507,12 @@
             if self._cycle_waits_for_writes(shard):
                 return
 
+    @staticmethod
+    def _priority_of(transaction: Transaction) -> RequestPriority:
+        if transaction.overdue:
+            return RequestPriority.USER
+        return RequestPriority.NORMAL if transaction.urgent else RequestPriority.BACKGROUND
+
     def _on_commit(self, shard: Shard, transaction: Transaction, revision: int) -> None:
         for callback in transaction.on_commit:
             callback(revision)
--- a/ashdock/shard_owners.py
+++ b/ashdock/shard_owners.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from ashdock.core.job import spec_of_record
+from ashdock.core.job import ended_at_of, spec_of_record
 from ashdock.core.shard import Shard
 from ashdock.net.watch_cache import WatchCache
 from ashdock.settings import Team
@@ -112,7 +112,7 @@
         elif owner is not None and status == "queued":
             owner.apply(lambda shard: self._add_job(shard, job_id, value, revision))
         if status != "queued":
-            self.job_settled(job_id, status, value.get("done_at"))
+            self.job_settled(job_id, status, ended_at_of(value))
 
     def job_cancelled(self, job_id: str, team: str, revision: int, at: float) -> None:
         """Stop a job whose cancellation was recorded, if its shard is owned here.
@@ -127,13 +127,19 @@
         if owner is not None:
             owner.apply(lambda shard: shard.cancel(job_id, at, revision, self.now()))
 
-    def job_settled(self, job_id: str, status: str, done_at: float | None) -> None:
-        """Pass the final status of a job to the owners whose jobs may depend on it."""
+    def job_settled(self, job_id: str, status: str, ended_at: float | None) -> None:
+        """Pass the final status of a job to the owners whose jobs may depend on it.
+
+        Args:
+            job_id: Id of the job.
+            status: Its final status.
+            ended_at: When it was done or cancelled, in seconds since the epoch; None: not known.
+        """
         for owner in list(self.by_team.values()):
             if owner.may_depend_on(job_id):
                 owner.apply(
                     lambda shard: shard.dependency_tracker.settled(
-                        job_id, status, done_at, self.now()
+                        job_id, status, ended_at, self.now()
                     )
                 )
 
--- a/tests/test_cancellation_deadlines.py
+++ b/tests/test_cancellation_deadlines.py
@@ -9,8 +9,11 @@
 
 import pytest
 
+from ashdock.core.job import JobPhase
+from ashdock.core.shard import Shard
 from tests import test_cluster
 from tests.cluster import Service, job, shared
+from tests.test_core import queued_record, shard_with, spec
 from tests.virtual_time import spawn
 
 WRITE_RPS = 30.0  # puts and deletes that the store accepts per second
@@ -132,3 +135,70 @@
         await check_cancelled_in_time(service, fault, teams, submitted)
 
     test_cluster.run_scenario(monkeypatch, 54, scenario, settle=4.0, write_rps=WRITE_RPS)
+
+
+# -- order of writes of one shard ----------------------------------------------------------------
+
+
+def saturated_shard(cancelled_at: list[float]) -> Shard:
+    """A shard with 40 unwritten placements, and then a job cancelled with another at each time."""
+    shard = shard_with([spec(number, shares=1) for number in range(1, 41)], machines="a")
+    for placed in list(shard.jobs.values()):
+        shard.place(placed, 0, shard.machines["vm-0"], 1, 0.0)
+    for number, at in enumerate(cancelled_at):
+        dependency = f"req-{900 + number:06d}"
+        shard.add_job(queued_record(spec(100 + number, awaits=[dependency]), 0.0), 8)
+        shard.dependency_tracker.settled(dependency, "withdrawn", at, 5.0)
+    shard.current_time = 5.0
+    return shard
+
+
+def job_ids(writes: dict[str, Any], root: str) -> list[str]:
+    """The jobs that a transaction writes under `job/` or `work/`, without repetition."""
+    place = 1 if root == "job" else 2
+    return list(dict.fromkeys(path.split("/")[place] for path in writes if path.startswith(root)))
+
+
+@pytest.mark.parametrize("writes_per_s", [4.0, 9.0, 18.0])
+def test_the_earliest_cancellation_is_written_first_and_other_changes_get_their_share(
+    writes_per_s: float,
+) -> None:
+    cancelled_at = [4.0, 1.0, 3.0, 0.5, 2.0, 4.5, 0.25, 1.5, 2.5, 3.5]
+    shard = saturated_shard(cancelled_at)
+    written: list[str] = []
+    while any(job.phase is JobPhase.ORPHANED for job in shard.jobs.values()):
+        transaction = shard.writer.next_transaction(scarce=True, writes_per_s=writes_per_s)
+        assert transaction is not None and len(transaction.writes) <= int(writes_per_s)
+        outcomes = job_ids(transaction.writes, "job")
+        placements = len(transaction.writes) - 2 * len(outcomes)
+        assert outcomes and placements >= int(writes_per_s) // 4
+        written += outcomes
+        for callback in transaction.on_commit:
+            callback(20)
+    earliest_first = sorted(range(len(cancelled_at)), key=lambda number: cancelled_at[number])
+    assert written == [f"req-{100 + number:06d}" for number in earliest_first]
+
+
+def test_the_deadline_counts_from_the_users_cancellation_in_each_shard_and_owner() -> None:
+    shard = saturated_shard([1.0])
+    # Accepted while the outcome of the job that it needs waits to be written.
+    shard.add_job(queued_record(spec(200, awaits=["req-000100"]), 0.5), 9)
+    shard.add_job(queued_record(spec(201, awaits=["req-000100"]), 4.0), 9)
+    shard.tick(6.0)
+    records = [shard.jobs[f"req-{number:06d}"].record() for number in (100, 200, 201)]
+    assert [record["status"] for record in records] == ["withdrawn"] * 3
+    assert [record["cancelled_at"] for record in records] == [1.0, 1.0, 4.0]
+    # The owner of another shard, or a new owner of this one, learns of it by the record.
+    other = shard_with([spec(300, awaits=["req-000100"])], team="blue")
+    other.dependency_tracker.settled("req-000100", "withdrawn", records[0]["cancelled_at"], 15.0)
+    assert other.jobs["req-000300"].cancelled_at == 1.0
+
+
+@pytest.mark.parametrize(("waited_s", "overdue"), [(4.0, False), (6.0, True)])
+def test_an_overdue_cancellation_is_written_as_a_users_request(
+    waited_s: float, overdue: bool
+) -> None:
+    shard = saturated_shard([1.0])
+    shard.current_time = 1.0 + waited_s
+    transaction = shard.writer.next_transaction()
+    assert transaction is not None and transaction.overdue is overdue
