Shard writer: an outcome's deletions keep to the writes of a transaction

Seen by callers: nothing end to end; read in the code. What would follow: a store that takes four writes in a transaction, or a controller with a rate of four, a changed machine and the outcome of a wide array: its shard writes nothing more, cancellations among it, for as long as the transaction is refused.

Cause: the number of deletions is the transaction's limit less four; where machines keep one write of four it was -1, and a slice up to -1 takes all chunks but the last. The store refuses such a transaction as too large each time, and the limits are at their least already.

Evidence: the test failed before: 8 writes in a transaction of 4 at most.

Change: never less than none; the chunks left are deleted afterwards, as before.

--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -463,7 +463,7 @@
             StoredKey(job.work_path(suffix), wide.revision)
             for suffix, wide in job.replaced_chunks.items()
         ]
-        max_deletions = transaction.max_ops - OUTCOME_RESERVED_OPS
+        max_deletions = max(0, transaction.max_ops - OUTCOME_RESERVED_OPS)
         deleted_now, deleted_later = stored[:max_deletions], stored[max_deletions:]
         record = fit_job_record(job.record(), self.shard.write_limits.value_bytes)
         ops = len(deleted_now) + JOB_RECORD_OPS
--- a/tests/test_cancellation_deadlines.py
+++ b/tests/test_cancellation_deadlines.py
@@ -202,3 +202,19 @@
     shard.current_time = 1.0 + waited_s
     transaction = shard.writer.next_transaction()
     assert transaction is not None and transaction.overdue is overdue
+
+
+def test_an_outcome_beside_changed_machines_keeps_to_the_writes_of_a_transaction() -> None:
+    shard = shard_with(
+        [spec(1, shares=400, cpus=0.01, accelerators=0.0, ram_gb=0.01)], machines="a"
+    )
+    done = shard.jobs["req-000001"]
+    for task in range(400):
+        shard.finish(done, task, 1.0)
+    for chunk in done.chunks.values():
+        chunk.revision = 9
+    assert len(done.chunks) > 4
+    shard.decommission(shard.machines["vm-0"], "silent")
+    transaction = shard.writer.next_transaction(writes_per_s=4.0)
+    assert transaction is not None and done.job_path in transaction.writes
+    assert len(transaction.writes) <= 4
