Admission, store rate: cancellations that are due make room for themselves

Cause: what an owner has to write by a time was known to nothing that hands out the store's rate.

Change: outcomes that are due count in the controller's demand like a user's waiting writes; their transactions go with users' priority when they would be late at what users leave, not only when they are; submissions are refused with 429 and Retry-After while they would take longer than half of cancel_s.

--- a/ashdock/admission/control.py
+++ b/ashdock/admission/control.py
@@ -95,6 +95,8 @@
         shortage_end_s: a shortage ends after this many seconds without a refusal.
         ended_connections: connections closed or refused up to the last tick.
         write_wait_s: expected wait of the last submission until it would be written.
+        due_writes_s: expected time for writes that were promised by a time and would be late beside
+            new submissions; 0 if there are none.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         self.shortage_end_s = 2 * shared.workers.report_s
         self.ended_connections = 0
         self.write_wait_s = 0.0
+        self.due_writes_s = 0.0
 
     def admit_submission(
         self, write_wait_s: float, now: float, team: str = "", service_time_s: float = 0.0
@@ -161,6 +164,15 @@
                 service_time_s,
                 now,
             )
+        if self.due_writes_s > 0:
+            return self._refuse_submission(
+                team,
+                Resource.WRITES,
+                "cancellations have to be written first",
+                self.due_writes_s,
+                service_time_s,
+                now,
+            )
         return None
 
     def _refuse_submission(
@@ -250,7 +262,7 @@
         if resource is Resource.MEMORY:
             return f"held_body_bytes={self.held_body_bytes} max_body_bytes={self.memory.body_bytes}"
         if resource is Resource.WRITES:
-            return f"write_wait_s={self.write_wait_s:.2f}"
+            return f"write_wait_s={self.write_wait_s:.2f} due_writes_s={self.due_writes_s:.2f}"
         connections, users = self.connections, self.connections.count(SocketUse.USER)
         return (
             f"connections={len(connections)} max_connections={self.shares.inbound} "
--- a/ashdock/controller.py
+++ b/ashdock/controller.py
@@ -20,6 +20,7 @@
 from ashdock.connectivity import Connectivity, Readiness
 from ashdock.core.shard_status import ShardStatus
 from ashdock.core.write_limits import WriteLimits
+from ashdock.due_writes import DueWrites
 from ashdock.election.election import Election
 from ashdock.election.elector import LeaderElector
 from ashdock.election.fencing import TermFence
@@ -384,7 +385,16 @@
                 leads=self.leads,
             ),
             store_limits=StoreLimitSharing(
-                store=self.store, mesh=self.mesh, cluster=self.cluster, ttl_s=self.ttl_s
+                store=self.store,
+                mesh=self.mesh,
+                cluster=self.cluster,
+                due_writes=DueWrites(
+                    owners=self.shard_owners,
+                    write_limiter=self.store.write_limiter,
+                    admission=self.admission,
+                    cancel_s=self.workers.cancel_s,
+                ),
+                ttl_s=self.ttl_s,
             ),
             cancellations=self.cancellations,
             owner_gossip=self.owner_gossip,
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -21,6 +21,7 @@
 from ashdock.core.job import Chunk, Job, JobPhase, fit_job_record
 from ashdock.core.machine import Machine, MachinePhase, fit_machine_record
 from ashdock.core.park import Parks
+from ashdock.core.promised_writes import PromisedWrites
 from ashdock.core.quota import within_guarantee
 from ashdock.core.task import Placement, PlacementPhase
 from ashdock.core.write_limits import WriteLimits
@@ -37,8 +38,6 @@
 # Share of a transaction's writes that the outcomes of jobs cancelled with a dependency may take while
 # other changes wait. Users were promised these outcomes within `cancel_s`; the rest is for all else.
 DEPENDENCY_CANCELLATION_SHARE = 0.75
-# Share of `cancel_s` after which such an outcome is written with the priority of a user's request.
-OVERDUE_SHARE = 0.25
 MIN_OPS = 4  # writes allowed in a transaction, however low the write rate
 
 # A transaction is one request body, and the store refuses bodies of 64 KiB.
@@ -69,7 +68,8 @@
         max_ops: Maximum number of writes.
         size_bytes: Approximate size.
         urgent: Whether a run command, an outcome or a change of a machine waits for it.
-        overdue: Whether it has an outcome of which a user was told a considerable time ago.
+        overdue: Whether outcomes that users were promised by a time would be late if it waited
+            behind users' requests.
     """
 
     def __init__(self, max_ops: int) -> None:
@@ -198,7 +198,7 @@
             transaction.max_ops -= max(
                 1, min(max_ops // MACHINE_OPS_DIVISOR, len(self.changed_machines))
             )
-        cancelled = self._add_dependency_cancellations(transaction)
+        cancelled = self._add_dependency_cancellations(transaction, writes_per_s)
         deferred = self._add_urgent_jobs(transaction)
         self._add_parks(transaction)
         transaction.max_ops = max_ops
@@ -228,7 +228,9 @@
         equal_share = limits.write_rps / self.shard.shared.size
         return max(MIN_OPS, min(limits.ops, int(min(equal_share, writes_per_s))))
 
-    def _add_dependency_cancellations(self, transaction: Transaction) -> list[Job]:
+    def _add_dependency_cancellations(
+        self, transaction: Transaction, writes_per_s: float
+    ) -> list[Job]:
         """Add outcomes of jobs that were cancelled with a dependency, within their share.
 
         They are due within `cancel_s` of the cancellation, so the one that was cancelled first goes
@@ -243,9 +245,11 @@
         )
         if not cancelled:
             return []
-        waited_s = self.shard.current_time - self._cancelled_at(cancelled[0])
         transaction.urgent = True
-        transaction.overdue = waited_s > OVERDUE_SHARE * self.shard.shared.workers.cancel_s
+        transaction.overdue = PromisedWrites(
+            JOB_RECORD_OPS * len(cancelled),
+            self.shard.current_time - self._cancelled_at(cancelled[0]),
+        ).need_user_priority(writes_per_s, self.shard.shared.workers.cancel_s)
         max_ops = transaction.max_ops
         transaction.max_ops = max(JOB_RECORD_OPS, int(DEPENDENCY_CANCELLATION_SHARE * max_ops))
         remaining = self._add_jobs(transaction, cancelled)
--- a/ashdock/gossip.py
+++ b/ashdock/gossip.py
@@ -10,6 +10,7 @@
 from ashdock.cluster_version import ClusterVersion
 from ashdock.connectivity import Connectivity, Readiness
 from ashdock.core.shard import Shard
+from ashdock.due_writes import DueWrites
 from ashdock.load_handover import LoadHandover
 from ashdock.net.mesh import Mesh
 from ashdock.net.rate_limiter import Demand
@@ -70,7 +71,13 @@
     """Divides the store's request limits among the live controllers by their demand."""
 
     def __init__(
-        self, *, store: StoreClient, mesh: Mesh, cluster: ClusterState, ttl_s: float
+        self,
+        *,
+        store: StoreClient,
+        mesh: Mesh,
+        cluster: ClusterState,
+        due_writes: DueWrites,
+        ttl_s: float,
     ) -> None:
         """Set up the sharing.
 
@@ -78,11 +85,13 @@
             store: Client whose rates are set; its demand is this controller's.
             mesh: Links that tell the demands of peers.
             cluster: Tells which controllers are members.
+            due_writes: Adds to the demand what the shards owned here have to write by a time.
             ttl_s: How long a peer's demand counts after its last frame, in seconds.
         """
         self.store = store
         self.mesh = mesh
         self.members = cluster.members
+        self.due_writes = due_writes
         self.ttl_s = ttl_s
 
     def update_share(self) -> None:
@@ -91,6 +100,7 @@
         A peer that has not been heard within `ttl_s` counts with an unknown demand while it is a
         member, or while the members are not known.
         """
+        self.due_writes.update()
         demands: list[Demand | None] = []  # None: unknown demand
         for peer in self.mesh.peers.values():
             if peer.heartbeat is not None and peer.seen_within(self.ttl_s):
--- a/ashdock/net/rate_limiter.py
+++ b/ashdock/net/rate_limiter.py
@@ -59,6 +59,8 @@
         burst_s: capacity of the bucket, as the time in which it fills.
         reserve: fraction of the capacity that background requests leave.
         tokens: tokens in the bucket; below zero after a request larger than its capacity.
+        expected: tokens that urgent requests of this controller will take soon, beside the waiting
+            ones; they count in its demand.
         recent_use: weighted sum of the granted amounts, with a half-life of `DEMAND_HALF_LIFE_S`.
         refilled_at: monotonic time of the last refill.
         queues: the waiting requests by priority.
@@ -86,6 +88,7 @@
         self.burst_s = burst_s
         self.reserve = reserve
         self.tokens = self.capacity
+        self.expected = 0.0
         self.recent_use = 0.0
         self.refilled_at = time.monotonic()
         self.queues: dict[RequestPriority, FairQueue[asyncio.Future[None]]] = {
@@ -223,12 +226,14 @@
     def demand(self) -> float:
         """Weighted tokens per second granted recently, plus the weighted tokens waited for.
 
-        See `DEMAND_WEIGHT` for the weights.
+        Expected tokens weigh as much as a user's. See `DEMAND_WEIGHT` for the weights.
         """
         self._refill()
-        return self.recent_use / DEMAND_WINDOW_S + sum(
+        queued = sum(
             DEMAND_WEIGHT[priority] * self._queued_amount(priority) for priority in self.queues
         )
+        expected = DEMAND_WEIGHT[RequestPriority.USER] * self.expected
+        return self.recent_use / DEMAND_WINDOW_S + queued + expected
 
 
 def fair_share(total: float, controllers: int, own: float, others: Sequence[float | None]) -> float:
