Run commands: an unanswered one stays outstanding when a later command is answered

Cause: a right that had lapsed in one path and not in another. A direct run command that was not answered may arrive until the worker has a higher token; so it was marked, the mark kept the placement from being proved gone, and it had the token raised. But the answer to any later direct command for the same attempt, a repetition or the kill, took the mark away, and so did one that could not be sent at all. Then nothing raised the token, a heartbeat without the task under the same token counted as proof, the task was placed elsewhere, and the first command arrived.

Change: the commands in flight and those not answered are kept apart (OutstandingRuns); an answer settles only the one in flight. An unanswered one is dropped when the worker shows a higher token or another incarnation, as before.

test_only_proof_of_absence: each case now says where the preemption falls; the nine earlier cases have the same events in the same order.

--- a/ashdock/core/heartbeat_reconciler.py
+++ b/ashdock/core/heartbeat_reconciler.py
@@ -13,7 +13,7 @@
 from ashdock.core.estimates import Estimates
 from ashdock.core.job import Job
 from ashdock.core.machine import Machine, MachinePhase
-from ashdock.core.task import Failure, Placement, PlacementPhase
+from ashdock.core.task import AttemptKey, Failure, Placement, PlacementPhase
 from ashdock.core.task_commands import TaskCommands
 from ashdock.core.task_failures import FailureHandler
 from ashdock.fairness.classes import Classes
@@ -31,10 +31,6 @@
 log = logging.getLogger("ashdock.shard")
 
 
-# Job, task and attempt. A plain tuple is cheap: one is built for each task of each heartbeat.
-AttemptKey = tuple[str, int, int]
-
-
 class ReconciledShard(Protocol):
     """The part of a shard that heartbeats read and change."""
 
@@ -123,11 +119,7 @@
         if machine.incarnation and heartbeat.incarnation > machine.incarnation:
             self._incarnation_ended(machine, heartbeat, now)
         machine.incarnation, machine.sequence = heartbeat.incarnation, heartbeat.sequence
-        machine.outstanding_runs = {
-            key: token
-            for key, token in machine.outstanding_runs.items()
-            if token >= heartbeat.fencing_token
-        }
+        machine.outstanding_runs.worker_has(heartbeat.fencing_token)
 
     def _incarnation_ended(self, machine: Machine, heartbeat: Heartbeat, now: float) -> None:
         """Handle a new incarnation: the worker's lease expired, it killed and forgot its tasks.
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ashdock.core.outstanding_runs import OutstandingRuns
 from ashdock.core.task import Placement
 from ashdock.wire.messages import MachineType
 
@@ -64,9 +65,7 @@
         no_room_until: Until when nothing is placed here, because it had less room than expected.
         failed_jobs: Jobs that failed here, with the time of the last failure.
         sending_commands: Whether direct commands are in flight.
-        outstanding_runs: Run commands that were sent directly and not answered, with the fencing
-            token. They may arrive minutes late, and are harmless only once the worker has a higher
-            token or another incarnation.
+        outstanding_runs: Run commands that were sent directly and may still arrive.
         raise_token: Whether its fencing token has to rise, because a direct run command was not
             answered.
         inherited: Whether it was up under the previous owner, and this one has received no
@@ -112,7 +111,7 @@
         self.no_room_until = 0.0
         self.failed_jobs: dict[str, float] = {}
         self.sending_commands = False
-        self.outstanding_runs: dict[tuple[str, int, int], int] = {}
+        self.outstanding_runs = OutstandingRuns()
         self.raise_token = False
         if value.get("n") and value.get("a") and self.phase is MachinePhase.EXPECTED:
             # It was up when it was assigned; if it is down now, its silence will show that.
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -493,8 +493,8 @@
             and machine.empty
             and machine.phase is MachinePhase.LEAVING
         )
-        raises_token = machine.raise_token and any(
-            sent >= self.shard.token(machine) for sent in machine.outstanding_runs.values()
+        raises_token = machine.raise_token and machine.outstanding_runs.accepted_under(
+            self.shard.token(machine)
         )
         if not (is_transfer or raises_token or machine.decommission_generation):
             return
--- a/ashdock/core/task.py
+++ b/ashdock/core/task.py
@@ -10,6 +10,9 @@
 
 from ashdock.wire.messages import TaskStatus
 
+# Job, task and attempt. A plain tuple is cheap: one is built for each task of each heartbeat.
+AttemptKey = tuple[str, int, int]
+
 
 class TaskState(IntEnum):
     """State of a task.
--- a/ashdock/core/task_commands.py
+++ b/ashdock/core/task_commands.py
@@ -114,21 +114,27 @@
             placement = machine.live.get(split_task(command.task))
             if command.verb == CommandVerb.RUN and placement:
                 placement.start_sent_directly(machine.incarnation)
-                machine.outstanding_runs[(*placement.key, placement.attempt)] = token
+                machine.outstanding_runs.sent((*placement.key, placement.attempt), token)
         return commands
 
     @staticmethod
     def on_direct_answered(machine: Machine, commands: list[TaskCommand]) -> None:
-        """Record that direct commands cannot arrive any more."""
+        """Record that direct commands cannot arrive any more.
+
+        Earlier ones for the same attempts, which were not answered, still may.
+        """
         for command in commands:
-            machine.outstanding_runs.pop((*split_task(command.task), command.attempt), None)
+            machine.outstanding_runs.answered((*split_task(command.task), command.attempt))
 
     def on_direct_unanswered(self, machine: Machine, commands: list[TaskCommand]) -> None:
         """Have the fencing token raised if a run command may still arrive, even minutes late.
 
         The worker refuses the command once it has a higher token.
         """
-        if any(command.verb == CommandVerb.RUN for command in commands):
+        runs = [command for command in commands if command.verb == CommandVerb.RUN]
+        for command in runs:
+            machine.outstanding_runs.not_answered((*split_task(command.task), command.attempt))
+        if runs:
             machine.raise_token = True
             self.shard.mark_machine_changed(machine.name)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -38,6 +38,7 @@
     Heartbeat,
     JobSpec,
     MachineType,
+    TaskCommand,
     TaskReport,
     decode_submission,
     encode,
@@ -259,27 +260,73 @@
     ] == ["run"]
 
 
-PROOFS = [  # what follows the preemption of the task -> whether its placement still counts
-    ("a later heartbeat under the current token lacks it", [("heartbeat", 4, 10, 1)], False),
-    ("a heartbeat from before the command lacks it", [("heartbeat", 2, 10, 1)], True),
-    ("a heartbeat under an older token lacks it", [("heartbeat", 4, 9, 1)], True),
-    ("a direct answer lacks it while the command may be under way", [("direct", 4, 10, 1)], True),
-    ("a later incarnation of the worker", [("heartbeat", 1, 10, 2)], False),
-    ("no heartbeats", [("tick", 100, 0, 0)], True),
-    ("its machine is proved to be gone", [("gone", 0, 0, 0)], False),
+PREEMPT = ("preempt", 0, 0, 0)
+UNANSWERED = ("unanswered", 0, 0, 0)  # a direct start
+ANSWERED = ("answered", 0, 0, 0)  # its repetition
+KILL_ANSWERED = ("kill answered", 0, 0, 0)
+RAISE_TOKEN = ("raise token", 30, 0, 0)
+# What happens before and after the preemption of the task -> whether its placement still counts.
+PROOFS = [
+    (
+        "a later heartbeat under the current token lacks it",
+        [PREEMPT, ("heartbeat", 4, 10, 1)],
+        False,
+    ),
+    ("a heartbeat from before the command lacks it", [PREEMPT, ("heartbeat", 2, 10, 1)], True),
+    ("a heartbeat under an older token lacks it", [PREEMPT, ("heartbeat", 4, 9, 1)], True),
+    (
+        "a direct answer lacks it while the command may be under way",
+        [PREEMPT, ("direct", 4, 10, 1)],
+        True,
+    ),
+    ("a later incarnation of the worker", [PREEMPT, ("heartbeat", 1, 10, 2)], False),
+    ("no heartbeats", [PREEMPT, ("tick", 100, 0, 0)], True),
+    ("its machine is proved to be gone", [PREEMPT, ("gone", 0, 0, 0)], False),
     (
         "a direct start was not answered, same token",
-        [("unanswered", 0, 0, 0), ("heartbeat", 4, 10, 1)],
+        [UNANSWERED, PREEMPT, ("heartbeat", 4, 10, 1)],
         True,
     ),
     (
         "a direct start was not answered, token raised",
-        [("unanswered", 0, 0, 0), ("raise token", 30, 0, 0), ("heartbeat", 5, 30, 1)],
+        [UNANSWERED, PREEMPT, RAISE_TOKEN, ("heartbeat", 5, 30, 1)],
+        False,
+    ),
+    (
+        "a direct start was not answered but its repetition was, same token",
+        [UNANSWERED, ANSWERED, PREEMPT, ("heartbeat", 4, 10, 1)],
+        True,
+    ),
+    (
+        "a direct start was not answered but its repetition was, token raised",
+        [UNANSWERED, ANSWERED, PREEMPT, RAISE_TOKEN, ("heartbeat", 5, 30, 1)],
+        False,
+    ),
+    (
+        "a direct start was not answered but the kill was, same token",
+        [UNANSWERED, PREEMPT, KILL_ANSWERED, ("heartbeat", 4, 10, 1)],
+        True,
+    ),
+    (
+        "a direct start was not answered but the kill was, token raised",
+        [UNANSWERED, PREEMPT, KILL_ANSWERED, RAISE_TOKEN, ("heartbeat", 5, 30, 1)],
+        False,
+    ),
+    (
+        "a direct start was not answered, its repetition under a raised token was",
+        [UNANSWERED, RAISE_TOKEN, ANSWERED, PREEMPT, ("heartbeat", 5, 30, 1)],
         False,
     ),
 ]
 
 
+def direct_commands(shard: Shard, machine: Machine, verb: str) -> list[TaskCommand]:
+    """The direct commands for a machine, all of which have that verb."""
+    commands = shard.commands.direct_commands(machine)
+    assert {command.verb for command in commands} == {verb}
+    return commands
+
+
 @pytest.mark.parametrize(("events", "counts"), [p[1:] for p in PROOFS], ids=[p[0] for p in PROOFS])
 def test_only_proof_of_absence_ends_a_placement(
     events: list[tuple[str, int, int, int]], counts: bool
@@ -287,13 +334,17 @@
     shard = shard_with([spec(shares=1)], "a")
     start_one_task(shard)
     machine = shard.machines["vm-0"]
-    if events[0][0] == "unanswered":
-        commands = shard.commands.direct_commands(machine)
-        shard.commands.on_direct_unanswered(machine, commands)
     job = shard.jobs["req-000001"]
-    shard.preempt(job, [0], "test", 3.0)
     for kind, a, b, c in events:
-        if kind in ("heartbeat", "direct"):
+        if kind == "unanswered":
+            shard.commands.on_direct_unanswered(machine, direct_commands(shard, machine, "run"))
+        elif kind == "answered":
+            shard.commands.on_direct_answered(machine, direct_commands(shard, machine, "run"))
+        elif kind == "kill answered":
+            shard.commands.on_direct_answered(machine, direct_commands(shard, machine, "kill"))
+        elif kind == "preempt":
+            shard.preempt(job, [0], "test", 3.0)
+        elif kind in ("heartbeat", "direct"):
             shard.reconciler.on_heartbeat(
                 heartbeat("vm-0", a, fencing_token=b, incarnation=c), 4.0, kind == "heartbeat"
             )
--- a/tests/test_store_refusals.py
+++ b/tests/test_store_refusals.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -21,6 +21,7 @@
 from tests.virtual_time import spawn
 
 CANCEL_S, LEASE_S, TTL_S = 20.0, 6.0, 1.0
+DELAY_S = 30.0  # of a run command; longer than it takes to place its task on a new machine
 # Watermark age up to which worker leases may be renewed, before the allowance for clock drift.
 MAX_WATERMARK_AGE_S = CANCEL_S - LEASE_S
 
@@ -478,6 +479,40 @@
     run_scenario(monkeypatch, 64, scenario)
 
 
+def test_a_delayed_run_command_is_not_carried_out_after_its_task_was_placed_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The kill command is answered while the writes that would raise the token are lost."""
+
+    async def lost(_: dict[str, Any]) -> None:
+        pass
+
+    async def scenario(service: Service) -> None:
+        owner = service.controllers[await start_long_job(service, 1)].owners["red"]
+        shard = owner.shard
+        assert shard is not None
+        await service.submit(job(2, shares=1, expect_s=60.0, spans={0: 60.0}))
+        delayed = shard.jobs["req-000002"]
+        service.cloud.held_commands = (1.0, DELAY_S, DELAY_S)
+        while not (delayed.live and shard.machines[delayed.live[0].machine].outstanding_runs):
+            await asyncio.sleep(0.01)
+        service.cloud.held_commands = None
+        monkeypatch.setattr(service.store, "_commit_late", lost)
+        machine = shard.machines[delayed.live[0].machine]
+        service.store.fault_for_writes = lambda writes: (
+            "late" if any(write.get("set") == f"machine/{machine.name}" for write in writes) else ""
+        )
+        machine.cordon("test")
+        shard.preempt(delayed, [0], "test", service.now())
+        owner.wake.set()
+        await asyncio.sleep(DELAY_S + LEASE_S)
+        service.store.fault_for_writes = None
+        await asyncio.sleep(4 * LEASE_S)
+        assert delayed.live[0].machine != machine.name and delayed.live[0].running_at
+
+    run_scenario(monkeypatch, 65, scenario)
+
+
 # -- cut off from the store and the peers, but not from users ------------------------------------
 
 
