Log at debug why a start or a stop was allowed

At debug there are now lines for a placement that is released, for direct commands (token and number of starts that may still arrive) and for a raised token. None at info: one for each task would be too many at thousands of machines.

--- a/ashdock/command_sender.py
+++ b/ashdock/command_sender.py
@@ -72,6 +72,13 @@
                 continue
             commands = shard.commands.direct_commands(machine)
             if commands:
+                log.debug(
+                    "direct commands sent: machine=%s token=%d commands=%d outstanding_runs=%d",
+                    name,
+                    shard.token(machine),
+                    len(commands),
+                    len(machine.outstanding_runs),
+                )
                 machine.sending_commands = True
                 task = asyncio.create_task(
                     self._exchange(shard, machine, commands, shard.token(machine))
--- a/ashdock/core/outstanding_runs.py
+++ b/ashdock/core/outstanding_runs.py
@@ -27,9 +27,9 @@
         """Iterate over the attempts."""
         return iter({**self._in_flight, **self._unanswered})
 
-    def __bool__(self) -> bool:
-        """Whether any command may still arrive."""
-        return bool(self._in_flight or self._unanswered)
+    def __len__(self) -> int:
+        """Return the number of attempts."""
+        return len({*self._in_flight, *self._unanswered})
 
     def sent(self, attempt: AttemptKey, token: int) -> None:
         """Record that a command is being sent under the token."""
--- a/ashdock/core/shard.py
+++ b/ashdock/core/shard.py
@@ -244,6 +244,14 @@
     def release(self, placement: Placement, now: float) -> None:
         """Remove a placement that is proved gone, and make its task ready again."""
         job = self.jobs[placement.job]
+        log.debug(
+            "placement released: job=%s task=%d attempt=%d machine=%s phase=%s",
+            placement.job,
+            placement.task,
+            placement.attempt,
+            placement.machine,
+            placement.phase.name,
+        )
         self.drop_placement(placement, now)
         job.release(placement.task)
         if job.spec.kind == JobKind.GANG:
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -522,6 +522,8 @@
     def _machine_durable(self, machine: Machine, team: str, revision: int) -> None:
         machine.revision = revision
         machine.decommission_generation = 0
+        if machine.raise_token:
+            log.debug("fencing token raised: machine=%s token=%d", machine.name, revision)
         machine.raise_token = False
         if team != self.shard.name:
             log.info(
