--- a/ashdock/core/shard_recovery.py
+++ b/ashdock/core/shard_recovery.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ashdock.core.job import Job
-from ashdock.core.shard_writer import StoredKey
 from ashdock.core.task import TaskState
+from ashdock.core.transaction import StoredKey
 from ashdock.wire.messages import JobKind
 
 if TYPE_CHECKING:
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -10,10 +10,10 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from functools import partial
 from itertools import islice
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 import msgspec
 
@@ -24,6 +24,7 @@
 from ashdock.core.promised_writes import PromisedWrites
 from ashdock.core.quota import within_guarantee
 from ashdock.core.task import Placement, PlacementPhase
+from ashdock.core.transaction import KEY_BYTES, StoredKey, Transaction
 from ashdock.core.write_limits import WriteLimits
 from ashdock.settings import Shared, Team
 from ashdock.wire.messages import JobKind, JobStatus
@@ -40,10 +41,6 @@
 DEPENDENCY_CANCELLATION_SHARE = 0.75
 MIN_OPS = 4  # writes allowed in a transaction, however low the write rate
 
-# A transaction is one request body, and the store refuses bodies of 64 KiB.
-MAX_TRANSACTION_BYTES = 60 * 1024
-TRANSACTION_ENVELOPE_BYTES = 200  # a transaction without its writes
-KEY_BYTES = 100  # a path with its condition, which is all that a deletion has
 CHUNK_ENVELOPE_BYTES = 120  # a chunk's path and two conditions, without its value
 MACHINE_BYTES = 300  # a machine's record with its path and condition
 
@@ -51,63 +48,6 @@
 JOB_RECORD_OPS = 2  # `job/<id>` and the copy next to its chunks
 
 
-class StoredKey(NamedTuple):
-    """A key with its last known revision."""
-
-    path: str
-    revision: int
-
-
-class Transaction:
-    """A compare-and-swap that is being built, with callbacks for its commit.
-
-    Attributes:
-        conditions: Expected revision by path.
-        writes: New value by path; None deletes the key.
-        on_commit: Callbacks, called in order with the revision at which it was applied.
-        max_ops: Maximum number of writes.
-        size_bytes: Approximate size.
-        urgent: Whether a run command, an outcome or a change of a machine waits for it.
-        overdue: Whether outcomes that users were promised by a time would be late if it waited
-            behind users' requests.
-    """
-
-    def __init__(self, max_ops: int) -> None:
-        """Create an empty transaction."""
-        self.conditions: dict[str, int] = {}
-        self.writes: dict[str, Any] = {}
-        self.on_commit: list[Callable[[int], None]] = []
-        self.max_ops = max_ops
-        self.size_bytes = TRANSACTION_ENVELOPE_BYTES
-        self.urgent = False
-        self.overdue = False
-
-    def has_room(self, ops: int, size_bytes: int) -> bool:
-        """Whether more writes fit.
-
-        The first writes always do; otherwise they could never be written.
-
-        Args:
-            ops: Number of the writes.
-            size_bytes: Their total size.
-        """
-        return not self.writes or (
-            len(self.writes) + ops <= self.max_ops
-            and self.size_bytes + size_bytes <= MAX_TRANSACTION_BYTES
-        )
-
-    def put(self, path: str, value: Any, revision: int) -> None:
-        """Add a write that is conditional on the key's revision. The caller adds to `size_bytes`.
-
-        Args:
-            path: The key.
-            value: The new value; None deletes the key.
-            revision: The expected revision; 0 if the key does not exist.
-        """
-        self.conditions[path] = revision
-        self.writes[path] = value
-
-
 class WrittenShard(Protocol):
     """The part of a shard that the writer uses.
 
--- a/ashdock/shard_owner.py
+++ b/ashdock/shard_owner.py
@@ -19,7 +19,7 @@
 from ashdock.command_sender import CommandSender
 from ashdock.concurrency import StaleContextError, ensure_current
 from ashdock.core.shard import Shard
-from ashdock.core.shard_writer import Transaction
+from ashdock.core.transaction import Transaction
 from ashdock.core.write_limits import WriteLimits
 from ashdock.net.rate_limiter import RequestPriority
 from ashdock.net.store import CompareFailedError, StoreClient, StoreUnavailableError
