Test: a cancellation repeated while outcomes wait gets the same answer

Users cancel the first jobs once more, and the jobs after them, while their outcomes wait at a saturated owner: 'withdrawn' each time, and all in time. It passes with the sources as they are; it guards the bad input that the issue names.

--- a/tests/test_cancellation_deadlines.py
+++ b/tests/test_cancellation_deadlines.py
@@ -80,6 +80,14 @@
     service.store.write_rps = WRITE_RPS
 
 
+async def cancelled_again(service: Service) -> None:
+    """Users cancel the first jobs once more, and the ones after them, while outcomes wait."""
+    for number in range(1, PIPELINES + 1):
+        for job_id in (f"req-{10 * number:06d}", f"req-{10 * number + 1:06d}"):
+            if await service.cancel(job_id) != "withdrawn":
+                service.invariants.violations.append(("cancelled_again", job_id))
+
+
 async def check_cancelled_in_time(
     service: Service, fault: Fault, teams: list[str], submitted: str, number: int = PIPELINES
 ) -> None:
@@ -129,6 +137,7 @@
     "owner_replaced_while_outcomes_wait": (owner_replaced, THREE_LEVELS, "after"),
     "store_slow": (store_slow, THREE_LEVELS, "after"),
     "store_refuses_most_writes": (store_refuses, THREE_LEVELS, "after"),
+    "cancelled_again_while_outcomes_wait": (cancelled_again, THREE_LEVELS, "after"),
 }
 
 
