Direct commands name the incarnation that they were recorded with

A run command is recorded under a token and an incarnation and sent by a task that runs later. The token was passed along; the incarnation was read when the task ran. A heartbeat of a new incarnation in between ends the placement, and its mark as outstanding goes; the command then named the new incarnation, which would have carried it out beside the task's next placement.

Evidence: the extended test failed before, incarnation 2 where 1 was recorded. It still checks the token as before.

--- a/ashdock/command_sender.py
+++ b/ashdock/command_sender.py
@@ -81,23 +81,30 @@
                 )
                 machine.sending_commands = True
                 task = asyncio.create_task(
-                    self._exchange(shard, machine, commands, shard.token(machine))
+                    self._exchange(
+                        shard, machine, commands, shard.token(machine), machine.incarnation
+                    )
                 )
                 self.in_flight.add(task)
                 task.add_done_callback(self.in_flight.discard)
 
     async def _exchange(
-        self, shard: Shard, machine: Machine, commands: list[TaskCommand], token: int
+        self,
+        shard: Shard,
+        machine: Machine,
+        commands: list[TaskCommand],
+        token: int,
+        incarnation: int,
     ) -> None:
         """Send one request and apply its response.
 
-        The token is the one that the run commands were recorded with. The machine's token may rise
-        before this coroutine runs. A run command sent with the higher token could arrive late and
-        be accepted although it counts as fenced.
+        Token and incarnation are those that the run commands were recorded with. Either may rise
+        before this coroutine runs. A run command sent with the higher one could arrive and be
+        accepted although it counts as fenced, or as ended with the earlier incarnation.
         """
         try:
             status, heartbeat = await self.context.worker_client.send_commands(
-                machine.address, token, machine.incarnation, commands
+                machine.address, token, incarnation, commands
             )
             if status in WORKER_STATUSES:
                 shard.commands.on_direct_answered(machine, commands)
--- a/tests/test_concurrency.py
+++ b/tests/test_concurrency.py
@@ -164,12 +164,13 @@
     assert {path: entry.revision for path, entry in watch_cache.entries.items()} == revisions
 
 
-def test_a_run_command_is_sent_with_the_token_it_was_recorded_with(
+def test_a_run_command_is_sent_with_the_token_and_incarnation_it_was_recorded_with(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """With a higher token a run command that arrives late would not be fenced.
 
-    The worker would accept it although its own token had been raised to refuse it.
+    The worker would accept it although its own token had been raised to refuse it. For a new
+    incarnation it would start a task whose end that incarnation has proved.
     """
 
     async def scenario(service: Service) -> None:
@@ -179,21 +180,24 @@
         owner = controller.owners["red"]
         assert owner.shard is not None
         machine = next(m for m in owner.shard.machines.values() if m.address and m.incarnation)
-        sent_tokens: list[int] = []
+        sent: list[tuple[int, int]] = []
 
-        async def send_commands(worker_address: str, token: int, *_: Any) -> Any:
-            sent_tokens.append(token)
+        async def send_commands(address: str, token: int, incarnation: int, *_: Any) -> Any:
+            sent.append((token, incarnation))
             return 200, None
 
         monkeypatch.setattr(controller.worker_client, "send_commands", send_commands)
-        recorded_token = owner.shard.token(machine)
+        recorded = (owner.shard.token(machine), machine.incarnation)
         monkeypatch.setattr(owner.shard.commands, "direct_commands", lambda *_: [object()])
         monkeypatch.setattr(owner.shard.commands, "on_direct_answered", lambda *_: None)
         owner.shard.urgent_machines[machine.name] = None
         owner._send_urgent(owner.shard)
-        machine.revision += 1000  # its record is written before the request is sent
+        # Its record is written, and its worker's lease expires, before the request is sent.
+        machine.revision += 1000
+        machine.incarnation += 1
         await asyncio.sleep(0.01)
         machine.revision -= 1000
-        assert sent_tokens == [recorded_token]
+        machine.incarnation -= 1
+        assert sent == [recorded]
 
     simulate(monkeypatch, scenario)
