Backlog of writes: a job that is written does not count as waiting

The age of a change went by the job: one that is written and changes again between two looks, as an array at work does, seemed to wait ever longer, and the warning for on-call engineers was wrong. The age now begins anew with each write of the job. That of outcomes of jobs cancelled with a dependency, on which admission and the postmortem's figures rest, counts from the cancellation as before.

The new test failed before: 1 s of waiting for a job written each second.

--- a/ashdock/core/job.py
+++ b/ashdock/core/job.py
@@ -353,6 +353,13 @@
             chunk.placed_generation > chunk.durable_generation for chunk in self.chunks.values()
         )
 
+    @property
+    def durable_generations(self) -> int:
+        """Sum of what was last stored of its chunks and its reason; grows with each write."""
+        return self.durable_reason_generation + sum(
+            chunk.durable_generation for chunk in self.chunks.values()
+        )
+
     @property
     def all_done(self) -> bool:
         """Whether all tasks are done."""
--- a/ashdock/core/write_backlog.py
+++ b/ashdock/core/write_backlog.py
@@ -45,7 +45,8 @@
 
     Attributes:
         waiting: Number of jobs with such a change.
-        oldest_s: Seconds for which the oldest of them has waited; 0 if none waits.
+        oldest_s: The longest that one of them has waited without any write, in seconds; 0 if none
+            waits.
     """
 
     waiting: int = 0
@@ -53,9 +54,16 @@
 
 
 class _WaitingChange(NamedTuple):
-    """A job's change that waits; `since` is in seconds since the epoch."""
+    """A job's change that waits.
+
+    Attributes:
+        kind: What its next write is for.
+        durable_generations: What of the job was durable when it was first seen to wait.
+        since: When that was, in seconds since the epoch.
+    """
 
     kind: ChangeKind
+    durable_generations: int
     since: float
 
 
@@ -101,11 +109,13 @@
             self._log_long_wait(kind, backlog)
 
     def _change_of(self, job: Job, now: float) -> _WaitingChange:
-        kind = kind_of(job)
+        kind, durable = kind_of(job), job.durable_generations
         if kind is ChangeKind.DEPENDENCY_CANCELLATION and job.cancelled_at is not None:
-            return _WaitingChange(kind, job.cancelled_at)
+            return _WaitingChange(kind, durable, job.cancelled_at)
         known = self._changes.get(job.id)
-        return known if known is not None and known.kind is kind else _WaitingChange(kind, now)
+        if known is not None and (known.kind, known.durable_generations) == (kind, durable):
+            return known
+        return _WaitingChange(kind, durable, now)
 
     def _log_long_wait(self, kind: ChangeKind, backlog: KindBacklog) -> None:
         if kind in self._long_waits:
--- a/ashdock/net/metrics.py
+++ b/ashdock/net/metrics.py
@@ -209,7 +209,7 @@
         )
         oldest = GaugeMetricFamily(
             "ashdock_unwritten_oldest_seconds",
-            "how long the oldest of them has waited",
+            "the longest that one of them has waited without any write",
             labels=["team", "kind"],
         )
         unread = GaugeMetricFamily(
--- a/tests/test_write_backlog.py
+++ b/tests/test_write_backlog.py
@@ -42,6 +42,15 @@
     assert set(shard.write_backlog.by_kind.values()) == {KindBacklog()}
 
 
+def test_a_job_that_changes_all_the_time_and_is_written_does_not_wait() -> None:
+    shard = shard_with([spec(1)], machines="a")
+    for second in range(1, 5):
+        shard.place(shard.jobs["req-000001"], second - 1, shard.machines["vm-0"], 1, second)
+        shard.tick(float(second))
+        assert shard.write_backlog.by_kind[ChangeKind.RUN_COMMAND] == KindBacklog(1, 0.0)
+        commit(shard, 20 + second)
+
+
 def test_a_long_wait_is_logged_once_when_it_begins_and_once_when_it_ends(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
