--- a/ashdock/core/promised_writes.py
+++ b/ashdock/core/promised_writes.py
@@ -9,9 +9,9 @@
 import math
 from typing import NamedTuple
 
-# Share of an owner's writes that these outcomes get at the least: three quarters of what is left
-# beside the records of machines, which get a third (see `shard_writer`).
-GUARANTEED_SHARE = 0.5
+# Approximate share of an owner's writes that these outcomes get while machines take all of theirs:
+# three quarters of two thirds. Whole outcomes alone are written, so it varies with the transaction.
+OUTCOME_SHARE = 0.5
 # Share of the rate that is left to owners while users' requests use all they can (see
 # `MAX_OVERTAKING` in `net/rate_limiter.py`).
 RATE_SHARE_BELOW_USERS = 0.25
@@ -40,7 +40,7 @@
         """
         if not self.ops or math.isinf(writes_per_s):
             return 0.0
-        return self.ops / (GUARANTEED_SHARE * writes_per_s)
+        return self.ops / (OUTCOME_SHARE * writes_per_s)
 
     def need_user_priority(self, writes_per_s: float, cancel_s: float) -> bool:
         """Whether they would be late behind users' requests that use up the store's rate.
