--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -59,6 +59,7 @@
         nodes: address of each controller by label.
         on_machine: machine of each task that is on one.
         starts: time, task and attempt of each start.
+        failures: attempts that failed.
         broken: rules that were seen broken, as text.
     """
 
@@ -70,6 +71,7 @@
         self.results: set[str] = set()
         self.on_machine: dict[str, str] = {}
         self.starts: list[tuple[float, str, int]] = []
+        self.failures: list[TaskKey] = []
         self.broken: list[str] = []
         self.on_start: Callable[[str], None] = lambda _task: None
 
@@ -97,6 +99,7 @@
         self.answered_at = 0.0
         self.changed = asyncio.Event()
         self.gone = False
+        self.sick = False  # fails every task that it starts
         self.unsent_bytes = 0  # size of the last report that was too large to be sent
         self.running: set[asyncio.Task[None]] = set()
 
@@ -280,6 +283,13 @@
         task.status, task.held = "running", True
         self.world.started(self.name, key)
         self.changed.set()
+        if self.sick:
+            await asyncio.sleep(0.1)
+            if task.status == "running" and not self.gone:
+                self.world.record.write(self.name, f"{key[0]} try {key[1]} fails")
+                self.world.failures.append(key)
+                self._end(key, "error")
+            return
         if key[0] not in self.world.results:
             await asyncio.sleep(job["run_s"] if job["shape"] != "daemon" else 1e6)
         if task.status == "running" and not self.gone:
--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -41,8 +41,7 @@
     """The settings of a deployment; the numbers are those of the users' small ones."""
 
     def __init__(self, page: str) -> None:
-        """Take the numbers of `page`: "hgca" or "cvbc"."""
-        self.name = page
+        """Take the numbers of `page`: "hgca", "cvbc", or "cvbc-hunt" with its larger teams."""
         attica = page == "hgca"
         self.zones = (
             ["attica", "crete", "macedonia", "peloponnese"]
@@ -70,7 +69,15 @@
                 "forecast-crew": (24.0, 96.0),
             }
         )
+        self.core_share = 0.54
         self.ram_mb, self.sockets = (146.0, 900) if attica else (266.0, 1200)
+        if page == "cvbc-hunt":
+            self.core_share, self.ram_mb = 0.504, 251.0
+            self.teams = {
+                "clinic-ops": (800.0, 2000.0),
+                "member-data": (1200.0, 4000.0),
+                "forecast-crew": (700.0, 2500.0),
+            }
 
     def settings(self, ports: dict[str, tuple[int, int]], label: str, outside: str) -> str:
         """Return the settings file of one controller."""
@@ -108,7 +115,7 @@
             "[settings.cloud]",
             f"rps = {self.cloud_rps}\nlist_lag_s = {self.list_lag_s}",
             "[settings.machine_limits]",
-            f"core_share = 0.54\nram_mb = {self.ram_mb}\nmax_connections = {self.sockets}",
+            f"core_share = {self.core_share}\nram_mb = {self.ram_mb}\nmax_connections = {self.sockets}",
         ]
         return "\n".join(lines) + "\n"
 
