--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 
 def build(record: Record) -> Site:
     """Return the deployment."""
-    return Site(record, SHAPE, machines=6)
+    return Site(record, SHAPE, {(zone, False): 2 for zone in SHAPE.zones[:3]})
 
 
 async def short_jobs(site: Site, label: str) -> None:
--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -25,6 +25,8 @@
 
     report_s: float
     lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
 
 
 class Hull(NamedTuple):
@@ -60,6 +62,7 @@
         on_machine: machine of each task that is on one.
         starts: time, task and attempt of each start.
         failures: attempts that failed.
+        gangs: tasks that wait for their gang or run with it, by job and attempt.
         broken: rules that were seen broken, as text.
     """
 
@@ -72,6 +75,7 @@
         self.on_machine: dict[str, str] = {}
         self.starts: list[tuple[float, str, int]] = []
         self.failures: list[TaskKey] = []
+        self.gangs: dict[tuple[str, int], dict[TaskKey, Worker]] = {}
         self.broken: list[str] = []
         self.on_start: Callable[[str], None] = lambda _task: None
 
@@ -280,7 +284,8 @@
         if task.status != "pulling" or self.gone:
             return
         self.images.add(job["bundle"])
-        task.status, task.held = "running", True
+        gang = job["shape"] == "ensemble"
+        task.status, task.held = "waiting" if gang else "running", True
         self.world.started(self.name, key)
         self.changed.set()
         if self.sick:
@@ -290,12 +295,44 @@
                 self.world.failures.append(key)
                 self._end(key, "error")
             return
+        if gang:
+            await self._run_in_gang(key, task)
+            return
         if key[0] not in self.world.results:
             await asyncio.sleep(job["run_s"] if job["shape"] != "daemon" else 1e6)
         if task.status == "running" and not self.gone:
             self.world.results.add(key[0])
             self._end(key, "done")
 
+    async def _run_in_gang(self, key: TaskKey, task: Task) -> None:
+        job, times = key[0].rsplit("/", 1)[0], self.world.times
+        members = self.world.gangs.setdefault((job, key[1]), {})
+        members[key] = self
+        until = time.monotonic() + times.gang_wait_s
+        while len(members) < task.job["shares"]:
+            await asyncio.sleep(0.05)
+            if task.status != "waiting":
+                return
+            if time.monotonic() > until:
+                self._end(key, "incomplete")
+                return
+        task.status = "running"
+        self.changed.set()
+        until = time.monotonic() + task.job["run_s"]
+        while time.monotonic() < until and task.job["id"] not in self.world.results:
+            await asyncio.sleep(0.05)
+            if task.status != "running":
+                return
+            if len(members) < task.job["shares"]:
+                await asyncio.sleep(times.gang_peer_s / 2)
+                if task.status == "running":
+                    self._end(key, "mates_gone")
+                return
+        self.world.results.add(task.job["id"])
+        for other, worker in members.items():  # "if one task is `done`, so are all"
+            if other in worker.tasks and worker.tasks[other].status == "running":
+                worker._end(other, "done")
+
     def _end(self, key: TaskKey, cause: str) -> None:
         self._leave(key)
         task = self.tasks[key]
@@ -304,6 +341,9 @@
 
     def _leave(self, key: TaskKey) -> None:
         task = self.tasks[key]
+        job = key[0].rsplit("/", 1)[0]
+        if job not in self.world.results:
+            self.world.gangs.get((job, key[1]), {}).pop(key, None)
         if task.held and self.world.on_machine.get(key[0]) == self.name:
             del self.world.on_machine[key[0]]
         if task.status != "ended":
@@ -320,12 +360,13 @@
     """The cloud's interface, with the machines that it has rented out.
 
     Attributes:
-        room: how many more machines may be rented.
+        room: how many more machines may be rented, by zone and whether they are spot machines.
     """
 
-    def __init__(self, world: World, zones: list[str], room: int, list_lag_s: float) -> None:
+    def __init__(self, world: World, room: dict[tuple[str, bool], int], list_lag_s: float) -> None:
         """Begin without machines."""
-        self.world, self.zones, self.room, self.list_lag_s = world, zones, room, list_lag_s
+        self.world, self.room, self.list_lag_s = world, room, list_lag_s
+        self.zones = sorted({zone for zone, _ in room})
         self.workers: dict[str, Worker] = {}
         self.rented_at: dict[str, float] = {}
         self.up_at: dict[str, float] = {}
@@ -340,7 +381,10 @@
         return port
 
     def boot(self, zone: str, spot: bool, after_s: float) -> str:
-        """Rent out a machine that is up after `after_s`; return its name."""
+        """Rent out a machine that is up after `after_s`; return its name.
+
+        The caller has taken it from `room`.
+        """
         self.number += 1
         name = f"vm-{self.number:06d}"
         worker = self.workers[name] = Worker(self.world, name, zone, spot)
@@ -383,10 +427,11 @@
     def _rent(self, asked: dict[str, Any]) -> Answer:
         if asked["charter"] in self.charters:
             return Answer(200, {"berths": self.charters[asked["charter"]]})
-        number = min(self.room, asked["how_many"])
+        place = (asked["yard"], asked["loaners"])
+        number = min(self.room[place], asked["how_many"])
         if number <= 0:
             return Answer(503, {"error": "no capacity"})
-        self.room -= number
+        self.room[place] -= number
         names = [
             self.boot(asked["yard"], asked["loaners"], self.world.hull.boot_s)
             for _ in range(number)
@@ -401,7 +446,7 @@
             if worker is not None and not worker.gone:
                 worker.remove()
                 self.gone_at[name] = time.monotonic()
-                self.room += 1
+                self.room[worker.zone, worker.spot] += 1
         self.world.record.write("cloud", f"released {' '.join(names)}")
         return Answer(200, {})
 
--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -48,9 +48,8 @@
             if attica
             else ["interior", "island", "lower-mainland"]
         )
-        self.times = Times(1.0, 10.0) if attica else Times(3.0, 19.0)
+        self.times = Times(1.0, 10.0, 30.0, 8.0) if attica else Times(3.0, 19.0, 50.0, 4.0)
         self.cancel_s = 40.0 if attica else 39.0
-        self.gang_wait_s, self.gang_peer_s = (30.0, 8.0) if attica else (50.0, 4.0)
         self.hull = (
             Hull("kipos-gpu32", 32.0, 4.0, 192.0, 25.0, 1.0, 10.74, 2.64)
             if attica
@@ -107,7 +106,7 @@
         lines += [
             "[settings.workers]",
             f"report_s = {self.times.report_s}\nlease_s = {self.times.lease_s}",
-            f"gang_wait_s = {self.gang_wait_s}\ngang_peer_s = {self.gang_peer_s}",
+            f"gang_wait_s = {self.times.gang_wait_s}\ngang_peer_s = {self.times.gang_peer_s}",
             f"cancel_s = {self.cancel_s}",
             "[settings.state]",
             f"rps = {self.rps}\nwrite_rps = {self.write_rps}",
@@ -143,14 +142,28 @@
         last_told: by job, the last status that a user was told.
     """
 
-    def __init__(self, record: Record, shape: Shape, machines: int, room: int = 0) -> None:
-        """Prepare `machines` machines that are up, and a cloud with `room` more."""
-        self.record, self.shape, self.number = record, shape, machines
+    def __init__(
+        self,
+        record: Record,
+        shape: Shape,
+        up: dict[tuple[str, bool], int],
+        room: dict[tuple[str, bool], int] | None = None,
+    ) -> None:
+        """Prepare the deployment.
+
+        Args:
+            record: where to write what happens.
+            shape: the numbers of the deployment.
+            up: machines that are up at the start, by zone and whether they are spot machines.
+            room: machines that the cloud has besides; none by default.
+        """
+        self.record, self.shape, self.up = record, shape, up
         ports = free_ports(6)
         self.ports = {label: (ports[2 * n], ports[2 * n + 1]) for n, label in enumerate(LABELS)}
         self.nodes = {label: f"127.0.0.1:{self.ports[label][0]}" for label in LABELS}
         self.world = World(record, self.nodes, shape.times, shape.hull)
-        self.cloud = Cloud(self.world, shape.zones, room, shape.list_lag_s)
+        places = {(zone, spot): 0 for zone in shape.zones for spot in (False, True)}
+        self.cloud = Cloud(self.world, places | (room or {}), shape.list_lag_s)
         value_bytes = int(shape.value_kb * 1024)
         self.store = Store(record, shape.rps, shape.write_rps, (value_bytes, 48))
         self.folder = tempfile.TemporaryDirectory(prefix="ashdock-review-")
@@ -171,8 +184,9 @@
             )
             path = Path(self.folder.name) / f"{label}.toml"
             path.write_text(self.shape.settings(self.ports, label, outside), encoding="utf-8")
-        for number in range(self.number):
-            self.cloud.boot(self.shape.zones[number % len(self.shape.zones)], False, 0.5)
+        for (zone, spot), number in self.up.items():
+            for _ in range(number):
+                self.cloud.boot(zone, spot, 0.5)
         for label in LABELS:
             self.launch(label)
         await self.until_ready(LABELS, 30.0)
--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -199,7 +199,7 @@
         until = time.monotonic() + int(asked.get("hold_ms", "0")) / 1000
         after, prefix = int(asked["from"]), asked["under"]
         while True:
-            changed = self.changed
+            changed, revision = self.changed, self.revision
             first = bisect_right(self.changes, after, key=lambda change: change["stamp"])
             news = [
                 change
@@ -216,7 +216,7 @@
                         "store",
                         f"{label} watch {prefix} after {after}: {len(news)} changes",
                     )
-                return Answer(200, {"ledger": self.revision, "news": news})
+                return Answer(200, {"ledger": revision, "news": news})
             try:
                 async with asyncio.timeout(min(left_s, 0.1 if label in self.refused else left_s)):
                     await changed.wait()
