--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,108 +1,80 @@
-"""A controller that was refused by the store claims shards while its watch on jobs is behind."""
+"""A command that was carried out comes again, after its task was stopped and moved."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
 from lab import case  # noqa: E402
+from lab.fleet import Worker  # noqa: E402
 from lab.record import Record  # noqa: E402
-from lab.site import LABELS, Shape, Site, array, cannot_run  # noqa: E402
+from lab.site import Shape, Site, array, cannot_run  # noqa: E402
+from lab.wire import request  # noqa: E402
 
 SHAPE = Shape("hgca")
-REFUSED_S = 37.6  # the site file has 40 s
-ENDED_AT_S = 35.5  # the other two end; they are back SHAPE.back_s later
-TEAMS = list(SHAPE.teams)
+TEAM = next(iter(SHAPE.teams))
+MOVED = "req-000100"
 
 
 def build(record: Record) -> Site:
-    """Return the deployment."""
-    return Site(record, SHAPE, {(zone, False): 2 for zone in SHAPE.zones[:3]})
+    """Return the deployment: one machine is up in each of two zones, and the cloud has no more."""
+    return Site(record, SHAPE, {("attica", False): 1, ("crete", False): 1})
 
 
-async def short_jobs(site: Site, label: str) -> None:
-    """Have two short jobs of each team done."""
-    jobs = [
-        array(f"req-{100 + 10 * number + team:06d}", name, 2, 1.0)
-        for number in range(2)
-        for team, name in enumerate(TEAMS)
-    ]
-    for job in jobs:
-        await site.submit(label, job)
-    for job in jobs:
-        if not await site.until_done(label, job["id"], 25.0):
-            cannot_run(f"{job['id']} was not done during the refusal")
+async def until(condition: Callable[[], bool], what: str, for_s: float = 20.0) -> None:
+    """Wait until a condition holds."""
+    for _ in range(int(for_s / 0.05)):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+    cannot_run(f"{what} did not come about within {for_s:g} s")
 
 
 async def play(site: Site, trouble: bool) -> list[str]:
-    """Refuse one controller, end the others shortly before that is over, then cancel a job."""
-    owners = {site.store.keys[f"part/{team}"][0]["owner"] for team in TEAMS}
-    leader = site.store.keys["leader"][0]["label"]
-    refused = next(
-        (label for label in LABELS if label not in owners and label != leader),
-        next((label for label in LABELS if label != leader), LABELS[0]),
-    )
-    others = [label for label in LABELS if label != refused]
-    began_at = site.record.now()
-    if trouble:
-        site.record.write("site", f"the store refuses {refused} alone")
-        site.store.refused.add(refused)
-    await asyncio.sleep(3.0)
-    await short_jobs(site, others[0])
-    await asyncio.sleep(max(0.0, began_at + ENDED_AT_S - site.record.now()))
-    if trouble:
-        for label in others:
-            site.signal(label, signal.SIGKILL)
-    await asyncio.sleep(REFUSED_S - ENDED_AT_S)
+    """Have a task make room for urgent work, and repeat the command that had started it."""
+    world, workers = site.world, site.cloud.workers
+    task = f"{MOVED}/0"
+    await asyncio.sleep(2.0)  # the machines that are up report to the leader
+    await site.submit("berth-0", array(MOVED, TEAM, 1, 60.0, urgency="best_effort"))
+    await until(lambda: task in world.on_machine, "the job runs")
+    first = workers[world.on_machine[task]]
+    other = next(worker for worker in workers.values() if worker is not first)
+    urgent: dict[str, Any] = {"urgency": "high"}
+    await site.submit("berth-1", array("req-000200", TEAM, 1, 90.0, yard=other.zone, **urgent))
+    await until(lambda: "req-000200/0" in world.on_machine, "the other machine is in use")
+    whole = {**urgent, "cpus": 28.0, "accelerators": 4.0, "ram_gb": 150.0, "shape": "ensemble"}
+    await site.submit("berth-2", array("req-000300", TEAM, 1, 3.0, yard=first.zone, **whole))
+    await until(lambda: world.on_machine.get(task) == other.name, "the task has moved")
+    await until(lambda: "req-000300" in world.results, "the urgent job is done")
+    await until(lambda: not first.tasks, "the first machine has forgotten all")
     if trouble:
-        site.record.write("site", f"the store serves {refused} again")
-        site.store.refused.discard(refused)
-    await asyncio.sleep(SHAPE.back_s - (REFUSED_S - ENDED_AT_S))
-    if trouble:
-        for label in others:
-            site.launch(label)
-    await site.until_ready(LABELS, 15.0)
-    return await cancel_with_dependents(site, refused)
+        await repeat(site, first, task)
+    await asyncio.sleep(10.0)
+    await site.ask("berth-0", "GET", f"/v2/runs/{MOVED}")
+    return world.broken
 
 
-async def cancel_with_dependents(site: Site, label: str) -> list[str]:
-    """Cancel a job of each team that another one needs; return what is told too late."""
-    told_at: dict[str, float] = {}
-    for team, name in enumerate(TEAMS):
-        first, second = f"req-{900 + team:06d}", f"req-{910 + team:06d}"
-        await site.submit(label, array(first, name, 2, 60.0))
-        await site.submit(label, array(second, name, 2, 1.0, awaits=[first]))
-        while True:
-            answer = await site.ask(label, "POST", f"/v2/runs/{first}/withdraw")
-            if answer is not None and answer.status == 200:
-                break
-            await asyncio.sleep(1.0)
-        if answer.body["status"] != "withdrawn":
-            cannot_run(f"{first} was {answer.body['status']} when it was cancelled")
-        told_at[second] = site.record.now()
-    waiting = dict(told_at)
-    broken = []
-    while waiting:
-        await asyncio.sleep(2.0)
-        for job, at in list(waiting.items()):
-            answer = await site.ask(label, "GET", f"/v2/runs/{job}")
-            if answer is None or answer.status != 200:
-                continue
-            late_s = site.record.now() - at
-            if answer.body["status"] == "withdrawn":
-                del waiting[job]
-            elif late_s > SHAPE.cancel_s:
-                broken.append(
-                    f"orphaned: {job} is {answer.body['status']} {late_s:.1f} s after its user was"
-                    f" told that the job before it is cancelled (bound: {SHAPE.cancel_s:g} s)"
-                )
-                del waiting[job]
-    return broken
+async def repeat(site: Site, worker: Worker, task: str) -> None:
+    """Deliver a command to a worker again, as it came before."""
+    body = next(
+        (
+            order
+            for order in worker.received
+            if any(row["verb"] == "run" and row["share"] == task for row in order["orders"])
+        ),
+        None,
+    )
+    if body is None:
+        cannot_run("the task was not started by a direct command")
+    site.record.write("network", f"a copy of a request arrives at {worker.name}: {body}")
+    answer = await request(worker.address, "POST", "/orders", body)
+    site.record.write("network", f"{worker.name} answers {answer.status} {answer.body}")
 
 
 if __name__ == "__main__":
--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -104,7 +104,7 @@
         self.changed = asyncio.Event()
         self.gone = False
         self.sick = False  # fails every task that it starts
-        self.unsent_bytes = 0  # size of the last report that was too large to be sent
+        self.received: list[dict[str, Any]] = []  # bodies of the direct commands, as they came
         self.running: set[asyncio.Task[None]] = set()
 
     # -- reports -----------------------------------------------------------------------------
@@ -168,7 +168,6 @@
         size = len(json.dumps(body, separators=(",", ":")).encode())
         if size > MAX_REQUEST_BYTES:
             # The protocol does not let it send this.
-            self.unsent_bytes = size
             self.world.record.write(self.name, f"report of {size} bytes may not be sent")
             return following, NEXT_NODE_S
         try:
@@ -216,9 +215,14 @@
         if target == "/inspect" and method == "GET":
             return Answer(200, self.report())
         order = json.loads(body)
+        self.received.append(order)
         if "warrant" not in order or "tenure" not in order:
             return Answer(400, self.report())
         if order["warrant"] < self.warrant or order["tenure"] != self.tenure:
+            self.world.record.write(
+                self.name,
+                f"refuses commands of token {order['warrant']}, session {order['tenure']}",
+            )
             return Answer(409, self.report())
         if order["warrant"] > self.warrant:
             self.warrant = order["warrant"]
@@ -239,6 +243,7 @@
                 self.world.record.write(self.name, f"kill {key[0]} try {key[1]} ({source})")
                 self._end(key, "stopped")
             elif order["verb"] == "forget" and task is not None and task.status == "ended":
+                self.world.record.write(self.name, f"forget {key[0]} try {key[1]} ({source})")
                 del self.tasks[key]
 
     def _room_for(self, job: dict[str, Any], key: TaskKey) -> bool:
