Forget an attempt only under a higher token than its direct run commands

Cause: the network may deliver a request again after it was answered. OutstandingRuns dropped a direct run command with its answer, and `forget` was then sent under the token that the run command had been sent under. A worker ignores a run command for an attempt that it knows and starts one anew that it has forgotten, so the copy started it. Class of fault: an answer was taken for proof that the request cannot arrive any more.

Change: answered run commands are kept with their token until the worker reports a higher one. An ended attempt is forgotten only in a message with a higher token than all of its direct run commands. The owner takes that token from its latest committed transaction: the transaction was conditional on the claim, so every later claim has a higher revision and the token still fences. No write is needed, since the outcome of an attempt is durable before it is forgotten, in a transaction later than its run commands. Where the answer to that transaction was lost, or a transfer of the machine was not answered, the machine's record is written as for unanswered commands. A command that was never sent is told apart from one that was answered. raise_token is taken back where no token has to rise any more; it would now have caused writes.

--- a/ashdock/cluster_state.py
+++ b/ashdock/cluster_state.py
@@ -66,7 +66,10 @@
         return entry.value["label"] if entry else None
 
     def token_of(self, machine: str) -> int:
-        """Latest known fencing token of a machine; `UNKNOWN_TOKEN` without its record or claim."""
+        """Lowest fencing token of a machine's owner, as far as known.
+
+        `UNKNOWN_TOKEN` without the machine's record or the claim of its shard.
+        """
         entry = self.machines.entries.get(f"machine/{machine}")
         shard = self.shards.entries.get(f"part/{entry.value['p']}") if entry else None
         return max(entry.revision, shard.revision) if entry and shard else UNKNOWN_TOKEN
--- a/ashdock/command_sender.py
+++ b/ashdock/command_sender.py
@@ -117,7 +117,7 @@
             if error.sent:
                 shard.commands.on_direct_unanswered(machine, commands)
             else:
-                shard.commands.on_direct_answered(machine, commands)
+                shard.commands.on_direct_not_sent(machine, commands)
             log.debug("direct commands not answered: machine=%s error=%s", machine.name, error)
         finally:
             machine.sending_commands = False
--- a/ashdock/core/machine.py
+++ b/ashdock/core/machine.py
@@ -65,9 +65,12 @@
         no_room_until: Until when nothing is placed here, because it had less room than expected.
         failed_jobs: Jobs that failed here, with the time of the last failure.
         sending_commands: Whether direct commands are in flight.
-        outstanding_runs: Run commands that were sent directly and may still arrive.
-        raise_token: Whether its fencing token has to rise, because a direct run command was not
-            answered.
+        outstanding_runs: Run commands that were sent directly and may still arrive, or again.
+        raised_token: The fencing token that it was raised to without a write of its record; 0: it
+            was not.
+        raise_token: Whether its record has to be written if its fencing token must rise.
+        transfer_condition: Revision of its record on which its last transfer that may have been
+            sent is conditional; None without one.
         inherited: Whether it was up under the previous owner, and this one has received no
             heartbeat.
         target_shard: The shard to which it is transferred once empty; "" leaves it unassigned, None
@@ -112,7 +115,9 @@
         self.failed_jobs: dict[str, float] = {}
         self.sending_commands = False
         self.outstanding_runs = OutstandingRuns()
+        self.raised_token = 0
         self.raise_token = False
+        self.transfer_condition: int | None = None
         if value.get("n") and value.get("a") and self.phase is MachinePhase.EXPECTED:
             # It was up when it was assigned; if it is down now, its silence will show that.
             self.phase = MachinePhase.UP
@@ -229,6 +234,21 @@
             and self.reported_count == 0
         )
 
+    @property
+    def transfer_may_apply(self) -> bool:
+        """Whether a transfer may have been, or may still be, applied in the store."""
+        return self.transfer_condition == self.revision
+
+    def must_raise_token(self, token: int) -> bool:
+        """Whether the worker has to be given a higher token than this one.
+
+        Under this one it would carry out a run command that was not answered, or one that comes
+        again for an ended attempt that it has forgotten.
+        """
+        return self.outstanding_runs.accepted_under(token) or any(
+            self.outstanding_runs.may_restart(attempt, token) for attempt in self.ended_attempts
+        )
+
     def silence_s(self, now: float) -> float:
         """Return the seconds since its last heartbeat, or since this owner learnt of it."""
         return now - (
--- a/ashdock/core/shard.py
+++ b/ashdock/core/shard.py
@@ -231,7 +231,23 @@
 
     def token(self, machine: Machine) -> int:
         """Return the fencing token for commands to the machine."""
-        return max(self.revision, machine.revision)
+        return max(self.revision, machine.revision, machine.raised_token)
+
+    def raise_token(self, machine: Machine) -> None:
+        """Raise the fencing token for commands to the machine.
+
+        It becomes the revision of this owner's latest transaction. That was conditional on the
+        claim, so every later claim, and every later record of the machine, has a higher revision:
+        the next owner's token is higher. Only if that transaction is not later than the token, or
+        the machine may have been transferred meanwhile, its record is written instead.
+        """
+        revision = self.writer.committed_revision
+        if revision > self.token(machine) and not machine.transfer_may_apply:
+            machine.raised_token = revision
+            log.debug("fencing token raised: machine=%s token=%d", machine.name, revision)
+            return
+        machine.raise_token = True
+        self.mark_machine_changed(machine.name)
 
     # -- changes of a task's state --------------------------------------------------------------
 
--- a/ashdock/core/shard_writer.py
+++ b/ashdock/core/shard_writer.py
@@ -97,6 +97,8 @@
             iterate over all jobs.
         changed_machines: Names of machines whose record may have to be written, in order.
         obsolete_keys: Chunks of ended jobs that have not been deleted yet.
+        committed_revision: Revision of the latest transaction whose commit was confirmed; 0 before
+            the first.
     """
 
     def __init__(self, shard: WrittenShard) -> None:
@@ -105,6 +107,7 @@
         self.changed_jobs: dict[str, Job] = {}
         self.changed_machines: dict[str, None] = {}
         self.obsolete_keys: list[StoredKey] = []
+        self.committed_revision = 0
 
     def unwritten_jobs(self) -> Iterator[Job]:
         """Iterate over the jobs with something that can be written now."""
@@ -154,6 +157,7 @@
         if not transaction.writes:
             return None
         transaction.conditions[f"part/{shard.name}"] = shard.revision
+        transaction.on_commit.append(self._committed)
         return transaction
 
     def _max_ops(self, writes_per_s: float) -> int:
@@ -234,6 +238,8 @@
     def _add_machines(self, transaction: Transaction) -> None:
         for name in list(self.changed_machines):
             machine = self.shard.machines.get(name)
+            if machine is not None and machine.raise_token:
+                machine.raise_token = machine.must_raise_token(self.shard.token(machine))
             if machine is None or (
                 machine.target_shard is None
                 and not machine.raise_token
@@ -426,20 +432,20 @@
     def _write_machine(self, machine: Machine, transaction: Transaction) -> None:
         """Write a machine's record if the machine is transferred or decommissioned.
 
-        The record is also rewritten to raise the fencing token above that of an unanswered command.
+        The record is also rewritten to raise the fencing token above that of a run command that the
+        worker must not carry out.
         """
         is_transfer = (
             machine.target_shard is not None
             and machine.empty
             and machine.phase is MachinePhase.LEAVING
         )
-        raises_token = machine.raise_token and machine.outstanding_runs.accepted_under(
-            self.shard.token(machine)
-        )
-        if not (is_transfer or raises_token or machine.decommission_generation):
+        if not (is_transfer or machine.raise_token or machine.decommission_generation):
             return
         if not transaction.has_room(1, MACHINE_BYTES):
             return
+        if is_transfer:
+            machine.transfer_condition = machine.revision
         team = (
             machine.target_shard
             if is_transfer and machine.target_shard is not None
@@ -455,6 +461,9 @@
 
     # -- after a commit ----------------------------------------------------------------------------
 
+    def _committed(self, revision: int) -> None:
+        self.committed_revision = max(self.committed_revision, revision)
+
     def _parks_durable(self, index: int, value: list[Any] | None, revision: int) -> None:
         self.shard.parks.set_written(index, value, revision)
         self.shard.parks.dirty = bool(self.shard.parks.pending_writes())
--- a/ashdock/core/task_commands.py
+++ b/ashdock/core/task_commands.py
@@ -33,6 +33,10 @@
         """Return the fencing token for commands to the machine."""
         ...
 
+    def raise_token(self, machine: Machine) -> None:
+        """Raise the fencing token for commands to the machine, now or with a later write."""
+        ...
+
     def mark_machine_changed(self, name: str) -> None:
         """Have the next transaction check whether the machine's record must be written."""
         ...
@@ -81,18 +85,28 @@
                     grace_s=0.0,
                 )
             )
-        if heartbeat or machine.target_shard is not None:
-            for job_id, task, attempt in sorted(machine.ended_attempts):
-                if (job_id, task, attempt) not in machine.outstanding_runs and self._may_forget(
-                    job_id, task, attempt
-                ):
-                    commands.append(
-                        TaskCommand(
-                            verb=CommandVerb.FORGET, task=task_name(job_id, task), attempt=attempt
-                        )
-                    )
+        if machine.ended_attempts and (heartbeat or machine.target_shard is not None):
+            commands += self._forget_commands(machine)
         return commands[:MAX_COMMANDS]
 
+    def _forget_commands(self, machine: Machine) -> list[TaskCommand]:
+        """Choose the ended attempts that the worker may forget.
+
+        A direct run command may arrive again after it was carried out, and starts the attempt anew
+        if the worker has forgotten it. So an attempt is forgotten under a higher token than those
+        of its run commands; the worker refuses them from then on.
+        """
+        durable = [key for key in sorted(machine.ended_attempts) if self._may_forget(*key)]
+        runs, token = machine.outstanding_runs, self.shard.token(machine)
+        if any(runs.may_restart(key, token) for key in durable):
+            self.shard.raise_token(machine)
+            token = self.shard.token(machine)
+        return [
+            TaskCommand(verb=CommandVerb.FORGET, task=task_name(job_id, task), attempt=attempt)
+            for job_id, task, attempt in durable
+            if not runs.may_restart((job_id, task, attempt), token)
+        ]
+
     def _may_forget(self, job_id: str, task: int, attempt: int) -> bool:
         """Whether an ended attempt's outcome is durable, so that it is not started again."""
         job = self.shard.jobs.get(job_id)
@@ -119,13 +133,19 @@
 
     @staticmethod
     def on_direct_answered(machine: Machine, commands: list[TaskCommand]) -> None:
-        """Record that direct commands cannot arrive any more.
+        """Record that the worker answered direct commands; they may arrive again.
 
-        Earlier ones for the same attempts, which were not answered, still may.
+        Earlier ones for the same attempts, which were not answered, may still arrive.
         """
         for command in commands:
             machine.outstanding_runs.answered((*split_task(command.task), command.attempt))
 
+    @staticmethod
+    def on_direct_not_sent(machine: Machine, commands: list[TaskCommand]) -> None:
+        """Record that direct commands were never sent, so that they cannot arrive."""
+        for command in commands:
+            machine.outstanding_runs.not_sent((*split_task(command.task), command.attempt))
+
     def on_direct_unanswered(self, machine: Machine, commands: list[TaskCommand]) -> None:
         """Have the fencing token raised if a run command may still arrive, even minutes late.
 
--- a/ashdock/front.py
+++ b/ashdock/front.py
@@ -109,7 +109,7 @@
     Attributes:
         at: monotonic time at which that began, in seconds.
         label: of the owner's controller, or of a peer that may reach it.
-        token: the fencing token of the machine's owner at that time.
+        token: the lowest fencing token of the machine's owner at that time.
     """
 
     at: float
@@ -163,7 +163,7 @@
         ...
 
     def token_of(self, machine: str) -> int:
-        """The fencing token of a machine's owner; larger than any if unknown."""
+        """The lowest fencing token of a machine's owner; larger than any if unknown."""
         ...
 
     def heartbeat_received(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -268,6 +268,8 @@
         self.sequence = 0
         self.fencing_token = 0
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}  # by task and attempt
+        # Bodies of the direct requests that it carried out, by task and attempt that they started.
+        self.start_requests: dict[tuple[str, int], list[dict[str, Any]]] = {}
         self.lease_renewed_at = 0.0
         self.failure_share = 0.0  # of its tasks, that exit with an error
         self.reclaim_at: float | None = None  # when the cloud takes back its spot machine
@@ -464,8 +466,23 @@
             return reply(409, self.message())
         self.fencing_token = body["warrant"]
         self._execute_commands(body["orders"])
+        if self.cloud.repeated_starts_after_s is not None:
+            for command in body["orders"]:
+                if command["verb"] == "run":
+                    key = (command["share"], command["try"])
+                    self.start_requests.setdefault(key, []).append(body)
         return reply(200, self.message())
 
+    async def _repeat_request(self, body: dict[str, Any]) -> None:
+        """Receive a direct request again, after a delay; its answer reaches nobody."""
+        await asyncio.sleep(self.cloud.rng.uniform(*self.cloud.repeated_starts_after_s or (0, 0)))
+        await self.not_hung.wait()
+        if self.stopped:
+            return
+        if body["warrant"] >= self.fencing_token and body["tenure"] == self.incarnation:
+            self.fencing_token = body["warrant"]
+            self._execute_commands(body["orders"])
+
     def _execute_commands(self, commands: list[dict[str, Any]]) -> None:
         for command in commands:
             key = (command["share"], command["try"])
@@ -476,6 +493,8 @@
                 self._end_task(*key, "stopped", saved=command["leeway_s"] > 0)
             elif command["verb"] == "forget" and task and task["status"] == "ended":
                 del self.tasks[key]
+                for request in self.start_requests.pop(key, []):
+                    spawn(self.cloud.net, self.host, self._repeat_request(request))
 
     def _start_task(self, task_id: str, attempt: int) -> None:
         job = task_id.rsplit("/", 1)[0]
@@ -637,6 +656,9 @@
         self.boot_s = 6.0
         # Share of the direct commands that are delayed, and the least and the greatest delay in s.
         self.held_commands: tuple[float, float, float] | None = None
+        # Least and greatest delay in s after which a direct request that started an attempt comes
+        # again, once the worker has forgotten the attempt; None: it does not.
+        self.repeated_starts_after_s: tuple[float, float] | None = None
         self.down = False
         self.list_age_s = 0.0  # age of the machine lists that are returned
         self.machine_lists: list[tuple[float, list[dict[str, Any]]]] = []  # with their times
