--- a/ashdock/core/heartbeat_reconciler.py
+++ b/ashdock/core/heartbeat_reconciler.py
@@ -249,10 +249,11 @@
 
         The worker refuses commands of earlier owners from then on, and reports the tasks that they
         started before. That leaves our own run commands, of which none may be in flight. Direct
-        ones are in `outstanding_runs`, which the caller checks; those that were answered count no
-        longer, since the worker reports what it started until it is told to forget it. One that was sent in a response can
-        arrive until the worker has sent a later heartbeat than the one answered. A run command that
-        was sent, while the task was neither reported nor stopped since, is simply repeated.
+        ones are in `outstanding_runs`, which the caller checks; those that were answered do not
+        count, since the worker reports what it started until it is told to forget it. One that was
+        sent in a response can arrive until the worker has sent a later heartbeat than the one
+        answered. A run command that was sent, while the task was neither reported nor stopped
+        since, is simply repeated.
         """
         if (
             placement.start_answered is not None
