--- a/review/lab2/wire.py
+++ b/review/lab2/wire.py
@@ -125,7 +125,11 @@
             self.close()
             self.reader, self.writer = await asyncio.open_connection(HOST, self.port, limit=1 << 20)
         data = (
-            b"" if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
+            b""
+            if body is None
+            else body
+            if isinstance(body, bytes)
+            else json.dumps(body, separators=(",", ":")).encode()
         )
         self.writer.write(
             f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
